--- a/cairnrock/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""cairnrock: an overload controller that lives inside each server of a fleet."""
--- a/cairnrock/benchlink.py
+++ b/reelusher/benchlink.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any, BinaryIO
 
-from cairnrock import interface as io
-from cairnrock.choice import Controller
+from reelusher import interface as io
+from reelusher.choice import Controller
 
 BATCH = struct.Struct("<IQII")  # number, clock, bytes after the length field, records
 REPLY = struct.Struct("<III")  # number, records, bytes after this header
@@ -273,7 +273,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except Malformed as error:
-        print(f"cairnrock: {error}", file=sys.stderr)
+        print(f"reelusher: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/cairnrock/choice.py
+++ b/reelusher/choice.py
@@ -1,4 +1,4 @@
-"""Settings, events and actions: cairnrock/interface.py. This module holds every decision of a worker.
+"""Settings, events and actions: reelusher/interface.py. This module holds every decision of a worker.
 
 A PI loop on the busy cores sets G, the fraction of clients whose requests skip optional calls. Around it
 stand the cap on what runs, the level of calls, the random refusal and the guards of the four rules.
@@ -12,7 +12,7 @@
 from enum import IntEnum
 from typing import Any
 
-from cairnrock.interface import (
+from reelusher.interface import (
     Action, Advise, Call, CallEnded, CallNeeded, CloseIdle, Decline, Drain, Effect, Event, Fail, Forget,
     Gone, Halt, Health, Join, Keep, Outcome, Pause, Request, Run, RunEnded, Say, Settings, Skip, Tick, Timer)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,8 +3,8 @@
 from collections.abc import Sequence
 from typing import Any
 
-from cairnrock import interface as io
-from cairnrock.choice import Controller
+from reelusher import interface as io
+from reelusher.choice import Controller
 
 SAFE = io.RequestClass(deadline_us=8_000_000, aim_us=2_000_000, calls=True, skip_share=0.5)
 MUST_CALL = io.RequestClass(deadline_us=8_000_000, aim_us=2_000_000, worth=3, calls=True)
--- a/tests/limits.py
+++ b/tests/limits.py
@@ -3,7 +3,7 @@
 import sys
 from pathlib import Path
 
-MODULE = Path(__file__).parent.parent / "cairnrock" / "choice.py"
+MODULE = Path(__file__).parent.parent / "reelusher" / "choice.py"
 MOST_LINES, MOST_COLUMNS = 400, 110
 
 
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from cairnrock import benchlink
-from cairnrock import interface as io
+from reelusher import benchlink
+from reelusher import interface as io
 
 INFO: dict[str, Any] = {
     "categories": [{"deadline_us": 8_000_000, "effect": "pure", "objective_us": 2_000_000, "worth": 2.0}],
@@ -115,7 +115,7 @@
     def broken(*_: Any) -> None:
         raise RuntimeError("a fault in the module")
 
-    monkeypatch.setattr("cairnrock.benchlink.Controller.handle", broken)
+    monkeypatch.setattr("reelusher.benchlink.Controller.handle", broken)
     assert "RuntimeError: a fault in the module" in fatal(info())
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -5,9 +5,9 @@
 import pytest
 from helpers import MUST_CALL, SAFE, controller, ids, of, settings, tick
 
-from cairnrock import choice
-from cairnrock import interface as io
-from cairnrock.choice import Controller, client_point
+from reelusher import choice
+from reelusher import interface as io
+from reelusher.choice import Controller, client_point
 
 
 def test_the_loop_matches_values_computed_by_hand() -> None:
--- a/tests/test_generated.py
+++ b/tests/test_generated.py
@@ -4,8 +4,8 @@
 from hypothesis import settings as effort
 from hypothesis import strategies as st
 
-from cairnrock import interface as io
-from cairnrock.choice import Controller, State
+from reelusher import interface as io
+from reelusher.choice import Controller, State
 
 KINDS = [
     io.RequestClass(deadline_us=3_000_000, aim_us=1_000_000, calls=True, skip_share=0.5),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,9 +5,9 @@
 import pytest
 from helpers import KEYED, MUST_CALL, SAFE, UNSAFE, controller, ids, of, settings, tick
 
-from cairnrock import choice
-from cairnrock import interface as io
-from cairnrock.choice import Controller
+from reelusher import choice
+from reelusher import interface as io
+from reelusher.choice import Controller
 
 PERIOD = choice.PERIOD_US
 
