--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+.PHONY: build test lint run
+
+build:
+	test -x .venv/bin/python || python3 -m venv .venv
+	.venv/bin/pip -q --disable-pip-version-check install -r requirements.txt -r requirements-dev.txt
+
+lint:
+	.venv/bin/ruff check .
+	.venv/bin/mypy
+	.venv/bin/python tests/limits.py
+
+test: lint
+	.venv/bin/python -m pytest -q
+
+run:
+	.venv/bin/python -O -m reelusher
--- /dev/null
+++ b/reelusher/backends/runtime.py
@@ -0,0 +1,210 @@
+"""The link to the runtime: commands out, notices in, and the way back after a broken link."""
+
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from reelusher import interface as io
+from reelusher.core.counters import Counters
+from reelusher.core.model import CallWanted, GaugesRead, Message, Request, Result, RunOver, RunsLost
+from reelusher.net import Address, Outbox, connect, spawn
+from reelusher.wire import lines
+
+RETRY_S = 0.05  # between tries to connect
+CONNECT_S = 2.0
+BACKLOG_BYTES = 8 << 20
+RESTART_S = 5.0  # a start later than the known one by this is another start: clocks and pauses blur less
+ENDS = {"ok": io.Outcome.OK, "failed": io.Outcome.ERROR, "halted": io.Outcome.CANCELLED,
+        "void": io.Outcome.MOOT}
+
+
+class Sent:
+    """A command that the runtime may not have read yet; a mark (no line) stands for asked gauges."""
+
+    __slots__ = ("call", "line", "cookie")
+
+    def __init__(self, call: str, line: bytes, cookie: str = "") -> None:
+        self.call, self.line, self.cookie = call, line, cookie
+
+
+class RuntimeLink:
+    """Runs attempts on the runtime.
+
+    The runtime reads a link in order, so answered gauges prove that all sent before them was read, and a
+    notice proves the same for its run. What is not proved is sent again on the next link, and only after
+    the notices that were missed have come: `sync` is followed by gauges, whose answer comes behind them.
+    """
+
+    def __init__(self, address: Address, post: Callable[[Message], None], counters: Counters) -> None:
+        self._address = address
+        self._post = post
+        self._counters = counters
+        self._lock = threading.Lock()
+        self._outbox: Outbox | None = None
+        self._ready = False  # caught up with the runtime on this link
+        self._sent: deque[Sent] = deque()
+        self._serial = 0  # of the last notice read
+        self._links = 0
+        self._began = 0.0  # when the runtime started, by the monotonic clock
+        self._tells: dict[str, Callable[[dict[str, Any]], None]] = {
+            "ready": self._on_ready, "end": self._on_end, "wants": self._on_wants, "load": self._on_load,
+            "nack": self._on_nack, "info": lambda message: None}
+
+    def connect(self) -> None:
+        """Start to hold the link open."""
+        spawn("runtime", self._hold)
+
+    @property
+    def up(self) -> bool:
+        """Tell whether the runtime is there."""
+        return self._ready
+
+    # Commands, called by the owner
+
+    def start(self, request: Request, class_name: str) -> None:
+        """Start a run."""
+        self._command("start", request.call, service=class_name, blob=lines.blob(request.body))
+
+    def stop(self, call: str) -> None:
+        """Stop a run."""
+        self._command("stop", call)
+
+    def resume(self, call: str) -> None:
+        """Go on with a paused run."""
+        self._command("cont", call)
+
+    def give(self, call: str, body: bytes) -> None:
+        """Hand over the reply to a call."""
+        self._command("give", call, blob=lines.blob(body))
+
+    def omit(self, call: str, serial: int) -> None:
+        """Go on without a call."""
+        self._command("omit", call, serial=serial)
+
+    def ask_gauges(self, cookie: str) -> bool:
+        """Ask for the gauges."""
+        with self._lock:
+            if not self._ready or self._outbox is None:
+                return False
+            self._sent.append(Sent("", b"", cookie))
+            return self._outbox.send(lines.json_line({"msg": "gauges", "cookie": cookie}))
+
+    def _command(self, word: str, call: str, **more: Any) -> None:
+        line = lines.json_line({"msg": word, "call": call, **more})
+        with self._lock:
+            self._sent.append(Sent(call, line))
+            if self._ready and self._outbox is not None:
+                self._outbox.send(line)
+
+    # The link
+
+    def _hold(self) -> None:
+        while True:
+            try:
+                sock = connect(self._address, CONNECT_S)
+            except OSError:
+                time.sleep(RETRY_S)
+                continue
+            outbox = Outbox(sock, BACKLOG_BYTES)
+            with self._lock:
+                self._outbox, self._links = outbox, self._links + 1
+            outbox.send(lines.json_line({"msg": "sync", "serial": self._serial}))
+            try:
+                decoder = lines.JsonLines()
+                while data := sock.recv(1 << 16):
+                    for message in decoder.feed(data):
+                        self._take(message)
+            except lines.Malformed as error:
+                self._counters.add("runtime.malformed")
+                logger.warning("runtime: link closed for what it sent: {}", error)
+            except OSError as error:
+                logger.debug("runtime: {}", error)
+            with self._lock:
+                self._ready, self._outbox = False, None
+            outbox.release()
+            self._counters.add("runtime.link_lost")
+            logger.warning("runtime: link lost, connecting again")
+            time.sleep(RETRY_S)
+
+    def _take(self, message: dict[str, Any]) -> None:
+        word = message.get("msg")
+        react = self._tells.get(word) if isinstance(word, str) else None
+        if react is None:
+            raise lines.Malformed(f"an unknown notice {word!r}")
+        serial = message.get("serial")
+        if isinstance(serial, int):
+            if serial <= self._serial:
+                self._counters.add("runtime.replayed")
+                return
+            self._serial = serial
+        try:
+            react(message)
+        except (KeyError, TypeError, ValueError) as error:
+            raise lines.Malformed(f"a notice {word} with a bad field: {error!r}") from None
+
+    def _on_ready(self, message: dict[str, Any]) -> None:
+        began = time.monotonic() - float(message.get("duration", 0)) / 1000
+        logger.info("runtime: ready, {}", message.get("how"))
+        if self._began and began > self._began + RESTART_S:
+            logger.warning("runtime: it has started anew, its runs are lost")
+            self._counters.add("runtime.restarted")
+            with self._lock:
+                self._sent.clear()
+            self._serial = 0
+            self._post(RunsLost(self))
+        self._began = began
+        with self._lock:
+            if self._outbox is not None:
+                cookie = f"sync{self._links}"
+                self._outbox.send(lines.json_line({"msg": "gauges", "cookie": cookie}))
+
+    def _catch_up(self) -> None:
+        """Send again what may have been lost, now that all missed notices are read."""
+        with self._lock:
+            self._sent = deque(sent for sent in self._sent if sent.line)
+            self._ready = True
+            if self._outbox is not None:
+                for sent in self._sent:
+                    self._outbox.send(sent.line)
+                if self._links > 1 and self._sent:
+                    self._counters.add("runtime.sent_again", len(self._sent))
+
+    def _on_load(self, message: dict[str, Any]) -> None:
+        cookie = str(message["cookie"])
+        if cookie == f"sync{self._links}":
+            self._catch_up()
+            return
+        with self._lock:
+            if any(sent.cookie == cookie for sent in self._sent):
+                while self._sent.popleft().cookie != cookie:
+                    pass
+        self._post(GaugesRead(cookie, tuple(float(value) for value in message["stats"])))
+
+    def _proved(self, call: str) -> None:
+        """Note that the runtime has read what was sent for this run."""
+        with self._lock:
+            if any(sent.call == call for sent in self._sent):
+                self._sent = deque(sent for sent in self._sent if sent.call != call)
+
+    def _on_end(self, message: dict[str, Any]) -> None:
+        call, outcome = str(message["call"]), ENDS[message["how"]]
+        self._proved(call)
+        result = Result(lines.unblob(message.get("blob", ""))) if outcome is io.Outcome.OK else None
+        self._post(RunOver(call, outcome, int(float(message.get("duration", 0)) * 1000), result))
+
+    def _on_wants(self, message: dict[str, Any]) -> None:
+        call = str(message["call"])
+        self._proved(call)
+        self._post(CallWanted(call, int(message["serial"]), lines.unblob(message.get("blob", ""))))
+
+    def _on_nack(self, message: dict[str, Any]) -> None:
+        call, word = str(message.get("call", "")), message.get("how")
+        self._counters.add("runtime.nack")
+        logger.warning("runtime: the command {} for {} was not carried out", word, call)
+        self._proved(call)
+        if word == "start":  # nothing was started, and nothing will be
+            self._post(RunOver(call, io.Outcome.MOOT))
--- /dev/null
+++ b/reelusher/core/attempts.py
@@ -0,0 +1,79 @@
+"""Attempts in hand: one for each request read, until it is answered and nothing of it runs."""
+
+from collections.abc import Iterator
+from enum import Enum
+
+from reelusher.core.model import Request, Runner
+
+
+class Stage(Enum):
+    """Where an attempt stands."""
+
+    HELD = "held"
+    RUNNING = "running"
+    AT_CALL = "at_call"  # its run waits for a decision on a call
+    CALLING = "calling"  # its run waits for the reply to a call
+    PAUSED = "paused"
+    JOINED = "joined"  # waits for the result of another try
+
+
+class Attempt:
+    """A request in hand."""
+
+    __slots__ = ("id", "request", "runner", "stage", "answered", "ran", "due_us", "ticket", "wanted",
+                 "serial", "since_us")
+
+    def __init__(self, number: int, request: Request, runner: Runner, due_us: int) -> None:
+        self.id = number
+        self.request = request
+        self.runner = runner
+        self.stage = Stage.HELD
+        self.answered = self.ran = False
+        self.due_us = due_us
+        self.ticket = 0  # of its newest call below
+        self.wanted = b""  # body of the call that its run waits for
+        self.serial = 0  # of the notice that asked for it
+        self.since_us = 0  # when the newest call was made
+
+
+class Attempts:
+    """Attempts by id and by the name that backends know."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[int, Attempt] = {}
+        self._by_call: dict[str, Attempt] = {}
+        self._last = 0
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __iter__(self) -> Iterator[Attempt]:
+        return iter(list(self._by_id.values()))
+
+    def __contains__(self, number: int) -> bool:
+        return number in self._by_id
+
+    def add(self, request: Request, runner: Runner, due_us: int) -> Attempt:
+        """Take a request in hand."""
+        self._last += 1
+        attempt = Attempt(self._last, request, runner, due_us)
+        self._by_id[attempt.id] = self._by_call[request.call] = attempt
+        return attempt
+
+    def get(self, number: int) -> Attempt | None:
+        """Return the attempt with this id, if it is in hand."""
+        return self._by_id.get(number)
+
+    def named(self, call: str) -> Attempt | None:
+        """Return the attempt that backends know by this name, if it is in hand."""
+        return self._by_call.get(call)
+
+    def drop(self, attempt: Attempt) -> None:
+        """Let go of an attempt."""
+        self._by_id.pop(attempt.id, None)
+        if self._by_call.get(attempt.request.call) is attempt:
+            del self._by_call[attempt.request.call]
+
+    def unanswered(self) -> int:
+        """Count those that are owed an answer."""
+        return sum(not attempt.answered for attempt in self._by_id.values())
--- /dev/null
+++ b/reelusher/core/keys.py
@@ -0,0 +1,70 @@
+"""The table of keys: which try of a keyed request holds its entry, and what that try came to."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from reelusher.core.model import Result
+
+Key = tuple[str, int, str]  # tenant, class, key
+
+
+@dataclass(slots=True)
+class Entry:
+    """What is known of the try that holds a key."""
+
+    key: Key
+    holder: int
+    until_us: int
+    over: bool = False  # the holder's run has ended, or it never ran and never will
+    result: Result | None = None  # of a run that went well
+    waiting: list[int] = field(default_factory=list)  # joined tries
+
+
+class KeyTable:
+    """Entries by key and by holder.
+
+    An entry names the original of each try that reached the machine while it lived, however late that
+    try is read. So an entry that has run out stays for `tail_us`, longer than any try goes unread.
+    """
+
+    def __init__(self, tail_us: int) -> None:
+        self._tail_us = tail_us
+        self._by_key: dict[Key, Entry] = {}
+        self._by_holder: dict[int, Entry] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_holder)
+
+    def __iter__(self) -> Iterator[Entry]:
+        return iter(self._by_holder.values())
+
+    def original(self, key: Key, door_us: int) -> int:
+        """Return the holder that a try arriving then repeats, or 0."""
+        entry = self._by_key.get(key)
+        return entry.holder if entry and door_us <= entry.until_us else 0
+
+    def of(self, holder: int) -> Entry | None:
+        """Return the entry that a try holds."""
+        return self._by_holder.get(holder)
+
+    def keep(self, key: Key, holder: int, until_us: int) -> None:
+        """Record a try, or renew its entry; a newer holder takes the key over."""
+        entry = self._by_holder.get(holder)
+        if entry:
+            entry.until_us = until_us
+            return
+        self._by_key[key] = self._by_holder[holder] = Entry(key, holder, until_us)
+
+    def forget(self, holder: int) -> Entry | None:
+        """Remove an entry ahead of its time."""
+        entry = self._by_holder.pop(holder, None)
+        if entry and self._by_key.get(entry.key) is entry:
+            del self._by_key[entry.key]
+        return entry
+
+    def sweep(self, now_us: int, in_hand: Callable[[int], bool]) -> None:
+        """Drop entries that no try can meet any more. One whose holder is in hand stays."""
+        old = [e.holder for e in self if e.until_us + self._tail_us < now_us and not e.waiting
+               and not in_hand(e.holder)]
+        for holder in old:
+            self.forget(holder)
--- /dev/null
+++ b/reelusher/core/model.py
@@ -0,0 +1,164 @@
+"""What fronts, backends and the core say to each other. Nothing here names a wire."""
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from reelusher.interface import Outcome
+
+
+class Verdict(Enum):
+    """The final answer to an attempt."""
+
+    SERVED = "served"
+    REFUSED = "refused"  # it never ran
+    FAILED = "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class Result:
+    """What a run made, kept unchanged. Status and headers are empty where the backend has none."""
+
+    body: bytes
+    status: int = 200
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """The one final answer to an attempt."""
+
+    verdict: Verdict
+    result: Result | None = None
+    away_us: int = 0  # of a refusal: how long the caller should stay away
+    no_retry: bool = False  # of a refusal: the wish that no other node is tried
+    feedback: float | None = None  # the free value at this time
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    """One try of a request as a front read it."""
+
+    call: str  # unique in this node's life; names the run towards backends
+    kind: int  # its class, by position in the settings
+    body: bytes
+    door_us: int  # when it reached the machine
+    reply: Callable[[Answer], None]  # called once, by the owner; must not block
+    tenant: str = ""
+    tenant_no: int = 0
+    caller: int = 0
+    subject: int = 0
+    held_kb: float = 0.0
+    hint_us: int = 0
+    key: str = ""  # of keyed classes: the same for all tries of one request
+    head: object = None  # what a backend needs beyond the body; opaque to the core
+
+
+class Runner(Protocol):
+    """Runs attempts. Called by the owner only; nothing here may block."""
+
+    def start(self, request: Request, class_name: str) -> None:
+        """Start a run; ends come back as `RunOver`."""
+
+    def stop(self, call: str) -> None:
+        """Stop a run in the way that the settings name."""
+
+    def resume(self, call: str) -> None:
+        """Go on with a paused run."""
+
+    def give(self, call: str, body: bytes) -> None:
+        """Hand over the reply to the call that a run waits for."""
+
+    def omit(self, call: str, serial: int) -> None:
+        """Let a run go on without the call that this notice asked for."""
+
+    def ask_gauges(self, cookie: str) -> bool:
+        """Ask for the gauges; they come back as `GaugesRead`. False: nobody is there to be asked."""
+
+
+class Dependency(Protocol):
+    """Carries calls to what lies below. Called by the owner only; nothing here may block."""
+
+    def ask(self, call: str, ticket: int, until_us: int, body: bytes) -> None:
+        """Make a call; its end comes back as `CallOver` with this ticket."""
+
+    def unask(self, call: str, ticket: int) -> None:
+        """Give a call up; no reply is wanted any more."""
+
+
+@dataclass(slots=True, frozen=True)
+class Arrived:
+    """A front has read a request."""
+
+    request: Request
+
+
+@dataclass(slots=True, frozen=True)
+class Left:
+    """The callers of these attempts are out of reach; no answer can be delivered."""
+
+    calls: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class RunOver:
+    """A run has ended: OK (with the result), ERROR, CANCELLED, or MOOT where it never started."""
+
+    call: str
+    outcome: Outcome
+    took_us: int = 0
+    result: Result | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class CallWanted:
+    """A run waits for a call."""
+
+    call: str
+    serial: int
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class CallOver:
+    """A call has ended; the body is there when it went well."""
+
+    call: str
+    ticket: int
+    outcome: Outcome
+    body: bytes = b""
+
+
+@dataclass(slots=True, frozen=True)
+class GaugesRead:
+    """The gauges, in the order of the settings."""
+
+    cookie: str
+    stats: tuple[float, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class RunsLost:
+    """The runner has started anew: of these runs nothing more will be heard."""
+
+    runner: Runner
+
+
+@dataclass(slots=True, frozen=True)
+class DrainOrder:
+    """The node is told to leave."""
+
+    left_us: int
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """Something that is to be done by the owner between batches, with a reply to wait for."""
+
+    action: Callable[[], Any]
+    done: "Future[Any]" = field(default_factory=Future)
+
+
+Message = Arrived | Left | RunOver | CallWanted | CallOver | GaugesRead | RunsLost | DrainOrder | Ask
--- /dev/null
+++ b/reelusher/core/owner.py
@@ -0,0 +1,447 @@
+"""The owner: the one thread that holds the decision module. Everything reaches it through its queue."""
+
+import queue
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future
+from dataclasses import dataclass
+from typing import Any
+
+from loguru import logger
+
+from reelusher import interface as io
+from reelusher.choice import Controller
+from reelusher.core.attempts import Attempt, Attempts, Stage
+from reelusher.core.clock import Clock
+from reelusher.core.counters import Counters
+from reelusher.core.keys import Key, KeyTable
+from reelusher.core.model import (
+    Answer, Arrived, Ask, CallOver, CallWanted, Dependency, DrainOrder, GaugesRead, Left, Message, Request,
+    Result, Runner, RunOver, RunsLost, Verdict)
+from reelusher.core.timers import Timers
+
+GAUGES_WAIT_US = 50_000  # a tick waits this long for its gauges, then goes without
+CALL_GRACE_US = 60_000  # a call is given up here when no reply has come this long after its time
+GUARD_US = 40_000  # part of the slack left to the guard that answers what the module has not
+STOP_GUARD_US = 150_000  # before the stop: all that is read is answered by then
+SWEEP_US = 1_000_000  # between sweeps of the table of keys
+
+
+@dataclass(slots=True)
+class Told:
+    """What callers are to hear at present; written by the owner, read by fronts."""
+
+    healthy: bool = True
+    feedback: float | None = None
+    idle_us: int = 0
+    draining: bool = False
+
+
+class Core:
+    """Queue, clock, timers, attempts and keys round one controller."""
+
+    def __init__(self, settings: io.Settings, gauges: list[str], seed: int, runner: Runner,
+                 dependency: Dependency | None = None, class_names: list[str] | None = None,
+                 clock: Clock | None = None, counters: Counters | None = None) -> None:
+        self.settings = settings
+        self.gauges = gauges
+        self.class_names = class_names or [str(number) for number in range(len(settings.classes))]
+        self.counters = counters or Counters()
+        self.clock = clock or Clock()
+        self.told = Told(idle_us=settings.idle_us)
+        self.attempts = Attempts()
+        self.keys = KeyTable(max(kind.deadline_us for kind in settings.classes))
+        self.runners: dict[str, Runner] = {}  # of tenants that have one of their own
+        self.stop_us: int | None = None  # when the process is stopped, once it drains
+        self._runner = runner
+        self._dependency = dependency
+        self._controller = Controller(settings, seed)
+        self._timers = Timers()
+        self._inbox: queue.SimpleQueue[Message | None] = queue.SimpleQueue()
+        self._events: list[io.Event] = []  # of the batch that is being gathered
+        self._new_keys: set[Key] = set()  # keys of requests in that batch
+        self._ticks: dict[str, int] = {}  # cookies of ticks that wait for gauges, and their labels
+        self._cookies = self._tickets = 0
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            Arrived: self._arrived, Left: self._left, RunOver: self._run_over, CallWanted: self._call_wanted,
+            CallOver: self._call_over, GaugesRead: self._gauges_read, RunsLost: self._runs_lost,
+            DrainOrder: self._drain, Ask: self._ask}
+        self._actions: dict[type, Callable[[Any], None]] = {
+            io.Run: self._do_run, io.Pause: self._do_pause, io.Call: self._do_call, io.Skip: self._do_skip,
+            io.Decline: self._do_decline, io.Fail: self._do_fail, io.Join: self._do_join,
+            io.Keep: self._do_keep, io.Forget: self._do_forget, io.Health: self._do_health,
+            io.Advise: self._do_advise, io.CloseIdle: self._do_close_idle, io.Timer: self._do_timer}
+
+    # The thread
+
+    def post(self, message: Message) -> None:
+        """Hand a message to the owner, from any thread."""
+        self._inbox.put(message)
+
+    def ask(self, action: Callable[[], Any], timeout: float = 5.0) -> Any:
+        """Let the owner do something between two batches and return what it returns."""
+        done: Future[Any] = Future()
+        self.post(Ask(action, done))
+        return done.result(timeout)
+
+    def start(self) -> threading.Thread:
+        """Start the owner's thread."""
+        thread = threading.Thread(target=self.run, name="owner", daemon=True)
+        thread.start()
+        return thread
+
+    def stop(self) -> None:
+        """Let the owner's thread end after what is queued by now."""
+        self._inbox.put(None)
+
+    def run(self) -> None:
+        """Serve the queue until `stop`."""
+        self.now = self.clock.now()
+        self._consult([])  # the module sets its first timer
+        self._timers.at(self.now + SWEEP_US, self._sweep_keys)
+        while True:
+            batch = self._gather()
+            last = None in batch
+            self.turn([message for message in batch if message is not None])
+            if last:
+                return
+
+    def _gather(self) -> list[Message | None]:
+        """Wait for messages or the next timer, and take all that is queued."""
+        due = self._timers.next_us()
+        wait = None if due is None else max(0.0, (due - self.clock.now()) / 1e6)
+        batch: list[Message | None] = []
+        try:
+            batch.append(self._inbox.get(timeout=wait))
+            while True:
+                batch.append(self._inbox.get_nowait())
+        except queue.Empty:
+            return batch
+
+    def turn(self, batch: list[Message]) -> None:
+        """Handle one batch at one time by the clock."""
+        self.now = self.clock.now()
+        for message in batch:
+            self._handlers[type(message)](message)
+        self._timers.run_due(self.now)
+        self._flush()
+
+    def _flush(self) -> None:
+        """Hand the gathered events to the module and carry out what it wants."""
+        while self._events:  # an action may bring events of its own: a join that is served at once
+            events, self._events = self._events, []
+            self._new_keys.clear()
+            self._consult(events)
+
+    def _consult(self, events: list[io.Event]) -> None:
+        for action in self._controller.handle(self.now, events):
+            self._actions[type(action)](action)
+
+    # What comes in
+
+    def runner_of(self, tenant: str) -> Runner:
+        """Return what runs the attempts of a tenant."""
+        return self.runners.get(tenant, self._runner)
+
+    def _arrived(self, message: Arrived) -> None:
+        request = message.request
+        self.counters.add("requests.read")
+        if self.attempts.named(request.call):  # two runs under one name could not be told apart
+            self.counters.add("requests.name_taken")
+            logger.warning("request refused: its id {} is in hand already", request.call)
+            request.reply(self._answer_of(Verdict.FAILED))
+            return
+        kind = self.settings.classes[request.kind]
+        original = 0
+        if kind.effect is io.Effect.KEYED and request.key:
+            key = self._key(request)
+            if key in self._new_keys:  # tries read together know of each other, so the first is settled first
+                self._flush()
+            self._new_keys.add(key)
+            original = self.keys.original(key, request.door_us)
+        due = max(self.now, request.door_us + kind.deadline_us)
+        attempt = self.attempts.add(request, self.runner_of(request.tenant), due)
+        self._set_guard(attempt)
+        self._events.append(io.Request(
+            attempt.id, request.kind, request.caller, request.subject, request.tenant_no, request.held_kb,
+            request.hint_us, 0, max(0, self.now - request.door_us), original))
+
+    @staticmethod
+    def _key(request: Request) -> Key:
+        return request.tenant, request.kind, request.key
+
+    def _left(self, message: Left) -> None:
+        for call in message.calls:
+            attempt = self.attempts.named(call)
+            if attempt and not attempt.answered:
+                self.counters.add("answers.undeliverable")
+                self._gone(attempt)
+
+    def _gone(self, attempt: Attempt) -> None:
+        """Note that no answer is owed any more, and tell the module."""
+        attempt.answered = True
+        self._events.append(io.Gone(attempt.id))
+        self._settle(attempt)
+
+    def _run_over(self, message: RunOver) -> None:
+        attempt = self.attempts.named(message.call)
+        if attempt is None or not attempt.ran:
+            self.counters.add("runs.unknown_end")
+            return
+        self._unask(attempt)
+        entry = self.keys.of(attempt.id)
+        if entry:
+            entry.over, entry.result = True, message.result
+        if not attempt.answered:
+            served = message.outcome is io.Outcome.OK and message.result is not None
+            never = message.outcome is io.Outcome.MOOT  # proved never to have started
+            self._give_answer(attempt, Verdict.SERVED if served else Verdict.REFUSED if never
+                              else Verdict.FAILED, message.result if served else None)
+        self.counters.add("runs." + message.outcome.value)
+        self._events.append(io.RunEnded(attempt.id, message.outcome, message.took_us))
+        self.attempts.drop(attempt)
+        if entry:
+            self._end_joins(attempt.id)
+            if message.outcome is io.Outcome.MOOT:
+                self.keys.forget(attempt.id)
+
+    def _call_wanted(self, message: CallWanted) -> None:
+        attempt = self.attempts.named(message.call)
+        if attempt is None or not attempt.ran:
+            self.counters.add("runs.unknown_call")
+            return
+        self._unask(attempt)
+        attempt.stage, attempt.wanted, attempt.serial = Stage.AT_CALL, message.body, message.serial
+        self._events.append(io.CallNeeded(attempt.id))
+
+    def _call_over(self, message: CallOver) -> None:
+        attempt = self.attempts.named(message.call)
+        if attempt is None or attempt.stage is not Stage.CALLING or attempt.ticket != message.ticket:
+            self.counters.add("calls.late_reply")
+            return
+        self.counters.add("calls." + message.outcome.value)
+        if message.outcome is io.Outcome.OK:
+            attempt.runner.give(message.call, message.body)
+            attempt.stage = Stage.RUNNING
+        else:
+            attempt.stage = Stage.AT_CALL
+        self._events.append(io.CallEnded(attempt.id, message.outcome, max(0, self.now - attempt.since_us)))
+
+    def _gauges_read(self, message: GaugesRead) -> None:
+        label = self._ticks.pop(message.cookie, None)
+        if label is not None:
+            known = {name: value for name, value in zip(self.gauges, message.stats, strict=False) if name}
+            self._events.append(io.Tick(label, io.Gauges(**known)))
+
+    def _runs_lost(self, message: RunsLost) -> None:
+        for attempt in self.attempts:
+            if attempt.runner is message.runner and attempt.ran:
+                self._run_over(RunOver(attempt.request.call, io.Outcome.ERROR))
+
+    def _drain(self, message: DrainOrder) -> None:
+        if self.stop_us is None:
+            self.stop_us = self.now + message.left_us
+            self.told.draining = True
+            for attempt in self.attempts:
+                self._set_guard(attempt)
+            self._events.append(io.Drain(message.left_us))
+
+    def _ask(self, message: Ask) -> None:
+        try:
+            message.done.set_result(message.action())
+        except Exception as error:  # belongs to the thread that asks, not to the owner
+            message.done.set_exception(error)
+
+    # What the module wants
+
+    def _do_run(self, action: io.Run) -> None:
+        attempt = self.attempts.get(action.id)
+        if attempt is None:
+            return
+        if attempt.stage is Stage.PAUSED:
+            attempt.stage = Stage.RUNNING
+            attempt.runner.resume(attempt.request.call)
+            return
+        if attempt.answered or attempt.stage is not Stage.HELD:
+            return
+        kind = self.settings.classes[attempt.request.kind]
+        entry = self.keys.of(attempt.id)
+        once = kind.effect is not io.Effect.KEYED or not attempt.request.key or entry is not None
+        if not self.counters.must(once, "a keyed try runs only while it holds its entry"):
+            return
+        attempt.stage, attempt.ran = Stage.RUNNING, True
+        self.counters.add("runs.started")
+        attempt.runner.start(attempt.request, self.class_names[attempt.request.kind])
+
+    def _do_pause(self, action: io.Pause) -> None:
+        attempt = self.attempts.get(action.id)
+        if attempt and attempt.stage is Stage.RUNNING:
+            if not attempt.answered:  # an answered run is over when it stops, it can't be taken up again
+                attempt.stage = Stage.PAUSED
+            attempt.runner.stop(attempt.request.call)
+
+    def _do_call(self, action: io.Call) -> None:
+        attempt = self.attempts.get(action.id)
+        if attempt is None or attempt.stage is not Stage.AT_CALL or attempt.answered:
+            return
+        self._tickets += 1
+        ticket = attempt.ticket = self._tickets
+        attempt.stage, attempt.since_us = Stage.CALLING, self.now
+        call = attempt.request.call
+        if self._dependency is None:
+            self.post(CallOver(call, ticket, io.Outcome.UNREACHABLE))
+            return
+        self._dependency.ask(call, ticket, action.until_us, attempt.wanted)
+        self._timers.at(action.until_us + CALL_GRACE_US, lambda: self._call_overdue(attempt, ticket))
+
+    def _call_overdue(self, attempt: Attempt, ticket: int) -> None:
+        """Give up a call whose end nobody tells."""
+        if attempt.stage is Stage.CALLING and attempt.ticket == ticket and attempt.id in self.attempts:
+            self.counters.add("calls.given_up")
+            self._unask(attempt)
+            attempt.stage = Stage.AT_CALL
+            self._events.append(io.CallEnded(attempt.id, io.Outcome.TIMEOUT, self.now - attempt.since_us))
+
+    def _unask(self, attempt: Attempt) -> None:
+        if attempt.stage is Stage.CALLING and self._dependency is not None:
+            self._dependency.unask(attempt.request.call, attempt.ticket)
+
+    def _do_skip(self, action: io.Skip) -> None:
+        attempt = self.attempts.get(action.id)
+        if attempt and attempt.stage is Stage.AT_CALL:
+            attempt.stage = Stage.RUNNING
+            self.counters.add("calls.skipped")
+            attempt.runner.omit(attempt.request.call, attempt.serial)
+
+    def _do_decline(self, action: io.Decline) -> None:
+        attempt = self.attempts.get(action.id)
+        if attempt is None or attempt.answered:
+            return
+        if self.counters.must(not attempt.ran, "a try that ran is not turned away"):
+            self._give_answer(attempt, Verdict.REFUSED, away_us=action.away_us, no_retry=action.no_retry)
+        else:
+            self._give_answer(attempt, Verdict.FAILED)
+        self._settle(attempt)
+
+    def _do_fail(self, action: io.Fail) -> None:
+        attempt = self.attempts.get(action.id)
+        if attempt and not attempt.answered:
+            self._give_answer(attempt, Verdict.FAILED)
+            self._settle(attempt)
+
+    def _do_join(self, action: io.Join) -> None:
+        attempt = self.attempts.get(action.id)
+        if attempt is None:
+            return
+        attempt.stage = Stage.JOINED
+        original = self.keys.original(self._key(attempt.request), attempt.request.door_us)
+        entry = self.keys.of(original)
+        self.counters.add("keys.joined")
+        if entry is None:
+            self._end_join(attempt, None)
+        else:
+            entry.waiting.append(attempt.id)
+            if entry.over:
+                self._end_joins(original)
+
+    def _do_keep(self, action: io.Keep) -> None:
+        attempt = self.attempts.get(action.id)
+        if attempt and attempt.request.key:
+            self.keys.keep(self._key(attempt.request), action.id, self.now + action.span_us)
+
+    def _do_forget(self, action: io.Forget) -> None:
+        entry = self.keys.of(action.id)
+        if entry:
+            self._end_joins(action.id)
+            self.keys.forget(action.id)
+
+    def _do_health(self, action: io.Health) -> None:
+        if self.told.healthy is not action.good:
+            logger.info("health is now {}", "good" if action.good else "bad")
+        self.told.healthy = action.good
+
+    def _do_advise(self, action: io.Advise) -> None:
+        self.told.feedback = action.value
+
+    def _do_close_idle(self, action: io.CloseIdle) -> None:
+        self.told.idle_us = action.after_us or self.settings.idle_us
+
+    def _do_timer(self, action: io.Timer) -> None:
+        self._timers.at(self.now + action.in_us, lambda: self._timer_due(action.label))
+
+    def _timer_due(self, label: int) -> None:
+        """Ask for gauges; the tick follows with them, or without them when they stay out."""
+        self._cookies += 1
+        cookie = f"t{self._cookies}"
+        if not self._runner.ask_gauges(cookie):
+            self._events.append(io.Tick(label, io.Gauges()))
+            return
+        self._ticks[cookie] = label
+        self._timers.at(self.now + GAUGES_WAIT_US, lambda: self._tick_late(cookie))
+
+    def _tick_late(self, cookie: str) -> None:
+        label = self._ticks.pop(cookie, None)
+        if label is not None:
+            self.counters.add("gauges.missing")
+            self._events.append(io.Tick(label, io.Gauges()))
+
+    # Answers
+
+    def _answer_of(self, verdict: Verdict, result: Result | None = None, away_us: int = 0,
+                   no_retry: bool = False) -> Answer:
+        return Answer(verdict, result, away_us, no_retry, self.told.feedback)
+
+    def _give_answer(self, attempt: Attempt, verdict: Verdict, result: Result | None = None, away_us: int = 0,
+                     no_retry: bool = False) -> None:
+        """Give the one final answer."""
+        if not self.counters.must(not attempt.answered, "one answer a request"):
+            return
+        attempt.answered = True
+        self.counters.add("answers." + verdict.value)
+        attempt.request.reply(self._answer_of(verdict, result, away_us, no_retry))
+
+    def _settle(self, attempt: Attempt) -> None:
+        """Let go of an answered attempt, unless its run is still to end."""
+        if not attempt.ran:
+            self.attempts.drop(attempt)
+            self._end_joins(attempt.id)
+        elif attempt.stage is Stage.CALLING:
+            self._unask(attempt)
+            attempt.stage = Stage.AT_CALL
+
+    def _end_joins(self, holder: int) -> None:
+        """Answer the tries that wait for this one: with its result, or as failed where it has none."""
+        entry = self.keys.of(holder)
+        if entry:
+            waiting, entry.waiting = entry.waiting, []
+            for number in waiting:
+                attempt = self.attempts.get(number)
+                if attempt:
+                    self._end_join(attempt, entry.result)
+
+    def _end_join(self, attempt: Attempt, result: Result | None) -> None:
+        if not attempt.answered:
+            self._give_answer(attempt, Verdict.SERVED if result else Verdict.FAILED, result)
+        outcome = io.Outcome.OK if result else io.Outcome.ERROR
+        self._events.append(io.RunEnded(attempt.id, outcome, 0))
+        self.attempts.drop(attempt)
+
+    def _set_guard(self, attempt: Attempt) -> None:
+        """Answer at the due time whatever else happens; the module answers long before."""
+        due = attempt.due_us + min(GUARD_US, self.settings.slack_us // 2)
+        if self.stop_us is not None:
+            due = min(due, self.stop_us - STOP_GUARD_US)
+        self._timers.at(max(due, self.now), lambda: self._guard(attempt))
+
+    def _guard(self, attempt: Attempt) -> None:
+        if attempt.answered or attempt.id not in self.attempts:
+            return
+        self.counters.add("answers.by_guard")
+        logger.warning("request {} was due with no answer: answered as failed", attempt.request.call)
+        self._give_answer(attempt, Verdict.FAILED)
+        self._events.append(io.Gone(attempt.id))
+        self._settle(attempt)
+
+    def _sweep_keys(self) -> None:
+        self.keys.sweep(self.now, self.attempts.__contains__)
+        self._timers.at(self.now + SWEEP_US, self._sweep_keys)
--- /dev/null
+++ b/reelusher/fronts/platform.py
@@ -0,0 +1,248 @@
+"""The platform's front: MessagePack-RPC over TCP, translated to the core's requests and answers."""
+
+import hashlib
+import math
+import socket
+import threading
+import time
+from typing import Any
+
+from loguru import logger
+
+from reelusher import interface as io
+from reelusher.core.model import Answer, Arrived, Left, Request, Verdict
+from reelusher.core.owner import Core
+from reelusher.net import Address, Listener, Outbox, spawn
+from reelusher.wire import msgpack
+
+CALL, ANSWER, NOTICE = 0, 1, 2  # of MessagePack-RPC
+MOST_BODY = 2048
+MOST_OPEN = 256  # open requests on one connection; the platform keeps to 32
+BACKLOG_BYTES = 1 << 20  # answers that a slow caller may leave unread
+SWEEP_S = 0.1  # between looks at idle connections
+LEAVE_S = 2.0  # a caller told `lastCall` closes within this, or is closed
+MOST_HELD_KB = 2000.0
+
+
+class BadRequest(Exception):
+    """A request that gets an error answer and never reaches the core; the text names what is wrong."""
+
+
+class Connection:
+    """One caller's connection. Its reader is the only thread that reads; answers come from the owner."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.outbox = Outbox(sock, BACKLOG_BYTES)
+        self.lock = threading.Lock()
+        self.open: dict[int, str] = {}  # message ids that are owed an answer, and their core names
+        self.used = time.monotonic()
+        self.told_last = 0.0  # when `lastCall` was sent; 0: not yet
+        self.ended = False  # nothing more comes in
+
+    def answer(self, number: int, error: Any, result: Any) -> None:
+        """Send one answer; the connection ends once its caller has left and nothing is owed."""
+        self.outbox.send(msgpack.pack([ANSWER, number, error, result]))
+        with self.lock:
+            self.open.pop(number, None)
+            self.used = time.monotonic()
+            done = self.ended and not self.open
+        if done:
+            self.outbox.close()
+
+    def last_call(self, now: float) -> None:
+        """Tell the caller to send nothing more here."""
+        with self.lock:
+            if self.told_last:
+                return
+            self.told_last = now
+        self.outbox.send(msgpack.pack([NOTICE, "lastCall", []]))
+
+    def idle_for(self, now: float) -> float:
+        """Return for how long nothing has been open here."""
+        with self.lock:
+            return 0.0 if self.open else now - self.used
+
+
+def number_of(fields: dict[Any, Any], name: str, least: float, most: float, default: float) -> float:
+    """Read a number from the fields of a request."""
+    text = fields.get(name)
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except (TypeError, ValueError):
+        raise BadRequest(f"{name} is no number") from None
+    if not (math.isfinite(value) and least <= value <= most):
+        raise BadRequest(f"{name} is out of range")
+    return value
+
+
+def subject_of(item: str) -> int:
+    """Map what a read is about to a number that is never 0."""
+    try:
+        return int(item, 16) % (1 << 64) or 1
+    except ValueError:
+        return int.from_bytes(hashlib.blake2b(item.encode(), digest_size=8).digest(), "big") or 1
+
+
+class PlatformFront:
+    """Listens for callers."""
+
+    def __init__(self, core: Core, address: Address, tenant: str) -> None:
+        self._core = core
+        self._tenant = tenant
+        self._kinds = {name: number for number, name in enumerate(core.class_names)}
+        self._connections: set[Connection] = set()
+        self._lock = threading.Lock()
+        self._listener = Listener("platform", address, core.counters, self._serve)
+        self.address = self._listener.address
+
+    def start(self) -> None:
+        """Start to listen."""
+        self._listener.start()
+        spawn("platform-sweeper", self._sweep)
+
+    def stop_listening(self) -> None:
+        """Accept no more connections."""
+        self._listener.stop()
+
+    def last_call(self) -> None:
+        """Tell all callers to send nothing more on their connections."""
+        for connection in self._all():
+            connection.last_call(time.monotonic())
+
+    def open_connections(self) -> int:
+        """Count the connections of callers."""
+        return len(self._all())
+
+    def flush(self, until: float) -> bool:
+        """Wait until all answers are on their way, or until this time of the monotonic clock."""
+        return sum(not connection.outbox.flush(until) for connection in self._all()) == 0
+
+    def _all(self) -> list[Connection]:
+        with self._lock:
+            return list(self._connections)
+
+    def _serve(self, sock: socket.socket, peer: Address) -> None:
+        connection, decoder = Connection(sock), msgpack.Decoder()
+        with self._lock:
+            self._connections.add(connection)
+        try:
+            while data := sock.recv(1 << 16):
+                for message in decoder.feed(data):
+                    self._take(connection, message)
+            self._end(connection)
+        except msgpack.Malformed as error:
+            self._core.counters.add("platform.malformed")
+            logger.warning("platform: {}:{} closed for a malformed frame: {}", peer[0], peer[1], error)
+            self._lose(connection)
+        except OSError:
+            self._lose(connection)
+        finally:
+            connection.outbox.release()
+            with self._lock:
+                self._connections.discard(connection)
+
+    def _end(self, connection: Connection) -> None:
+        """The caller sends nothing more; what is open is still answered."""
+        with connection.lock:
+            connection.ended = True
+        while connection.open and not connection.outbox.closed:
+            time.sleep(SWEEP_S)
+
+    def _lose(self, connection: Connection) -> None:
+        """Nothing can be answered here any more."""
+        with connection.lock:
+            calls = tuple(name for name in connection.open.values() if name)
+        if calls:
+            self._core.post(Left(calls))
+
+    def _take(self, connection: Connection, message: Any) -> None:
+        """Take one message of a caller."""
+        match message:
+            case [0, int(number), str(method), list(params)] if number not in connection.open:
+                pass
+            case _:
+                raise msgpack.Malformed("not a request of MessagePack-RPC, or its id is open already")
+        told = self._core.told
+        with connection.lock:
+            connection.used = time.monotonic()
+        if method == "health":
+            self._core.counters.add("health.asked")
+            connection.answer(number, None, [told.healthy, self._fields(told.feedback)])
+            return
+        try:
+            request = self._request(connection, number, method, params)
+        except BadRequest as error:
+            self._core.counters.add("requests.bad")
+            logger.warning("platform: request answered with an error: {}", error)
+            connection.answer(number, ["Bad", {**self._fields(told.feedback), "why": str(error)}], None)
+            return
+        with connection.lock:
+            connection.open[number] = request.call
+        self._core.post(Arrived(request))
+
+    def _request(self, connection: Connection, number: int, method: str, params: list[Any]) -> Request:
+        """Check and translate a request."""
+        kind = self._kinds.get(method)
+        if kind is None:
+            raise BadRequest("no such class")
+        match params:
+            case [dict(fields), bytes(body)]:
+                pass
+            case _:
+                raise BadRequest("the parameters are not fields and a body")
+        if len(body) > MOST_BODY:
+            raise BadRequest(f"a body of more than {MOST_BODY} bytes")
+        if len(connection.open) >= MOST_OPEN:
+            raise BadRequest("too many open requests on this connection")
+        call, key, item = fields.get("txn"), fields.get("unique", ""), fields.get("item", "")
+        if not isinstance(call, str) or not 0 < len(call) <= 64 or not call.isascii() or not call.isalnum():
+            raise BadRequest("txn is missing or malformed")
+        if not isinstance(key, str) or not isinstance(item, str) or len(key) > 128 or len(item) > 128:
+            raise BadRequest("unique or item is malformed")
+        if self._core.settings.classes[kind].effect is io.Effect.KEYED and not key:
+            raise BadRequest("unique is missing")
+        door_ms = number_of(fields, "door", 0, 1e15, self._core.clock.now() / 1000)
+        return Request(
+            call=call, kind=kind, body=body, door_us=int(door_ms * 1000),
+            reply=lambda answer: self._reply(connection, number, answer), tenant=self._tenant,
+            caller=int(number_of(fields, "lb", 0, 65535, 0)), subject=subject_of(item) if item else 0,
+            held_kb=number_of(fields, "ram", 0, MOST_HELD_KB, 0.0),
+            hint_us=int(number_of(fields, "cpu", 0, 3.6e6, 0) * 1000), key=key)
+
+    @staticmethod
+    def _fields(feedback: float | None) -> dict[str, str]:
+        return {} if feedback is None else {"feedback": f"{feedback:.4f}"}
+
+    def _reply(self, connection: Connection, number: int, answer: Answer) -> None:
+        """Send the core's answer; called by the owner."""
+        fields = self._fields(answer.feedback)
+        if answer.verdict is Verdict.SERVED and answer.result is not None:
+            connection.answer(number, None, [answer.result.body, fields])
+        elif answer.verdict is Verdict.REFUSED:
+            if answer.away_us:
+                fields["later"] = str(answer.away_us // 1000)
+            if answer.no_retry:
+                fields["giveup"] = "1"
+            connection.answer(number, ["Full", fields], None)
+        else:
+            connection.answer(number, ["Error", fields], None)
+
+    def _sweep(self) -> None:
+        """Close idle connections: `lastCall` first, and never one with open requests."""
+        while True:
+            time.sleep(SWEEP_S)
+            now, told = time.monotonic(), self._core.told
+            usual = self._core.settings.idle_us
+            # callers close idle connections themselves; only an earlier wish, or a dead peer, is for us
+            limit = told.idle_us if 0 < told.idle_us < usual else 2 * usual
+            for connection in self._all():
+                idle = connection.idle_for(now)
+                if connection.told_last:
+                    if idle and now - connection.told_last > LEAVE_S:
+                        connection.outbox.close()
+                elif limit and idle * 1e6 > limit:
+                    self._core.counters.add("platform.closed_idle")
+                    connection.last_call(now)
--- /dev/null
+++ b/reelusher/net.py
@@ -0,0 +1,168 @@
+"""Sockets and threads of fronts and backends: listeners, connections, and an outbox that never blocks."""
+
+import contextlib
+import errno
+import socket
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+
+from loguru import logger
+
+from reelusher.core.counters import Counters
+
+STACK_BYTES = 256 * 1024  # of every thread; the deepest parser needs a small part of that
+BACKLOG = 512
+CHUNK = 1 << 16
+FULL_WAIT_S = 0.05  # accept rests this long while there is no descriptor to be had
+
+Address = tuple[str, int]
+
+
+def spawn(name: str, work: Callable[[], None]) -> threading.Thread:
+    """Start a thread with a small stack."""
+    threading.stack_size(STACK_BYTES)
+    thread = threading.Thread(target=work, name=name, daemon=True)
+    thread.start()
+    return thread
+
+
+def connect(address: Address, timeout: float) -> socket.socket:
+    """Open a connection; the socket blocks."""
+    sock = socket.create_connection(address, timeout)
+    sock.settimeout(None)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+class Outbox:
+    """What is on its way out of one socket.
+
+    `send` never blocks: what the socket does not take at once waits in a bounded backlog that a thread of
+    its own works off. A reader so slow that the backlog fills loses its connection and harms nobody else.
+    """
+
+    def __init__(self, sock: socket.socket, limit: int) -> None:
+        self._sock = sock
+        self._limit = limit
+        self._waiting: deque[bytes] = deque()
+        self._size = 0
+        self._changed = threading.Condition()
+        self._writer = False
+        self.closed = False
+
+    def send(self, data: bytes) -> bool:
+        """Send, or queue what can't be sent now; False where the connection is lost."""
+        with self._changed:
+            if self.closed:
+                return False
+            if not self._waiting and not self._writer:
+                try:
+                    data = data[self._sock.send(data, socket.MSG_DONTWAIT):]
+                except BlockingIOError:
+                    pass
+                except OSError:
+                    self._close()
+                    return False
+                if not data:
+                    return True
+            self._waiting.append(data)
+            self._size += len(data)
+            if self._size > self._limit:
+                self._close()
+                return False
+            if not self._writer:
+                self._writer = True
+                spawn("writer", self._write)
+            return True
+
+    def _write(self) -> None:
+        while True:
+            with self._changed:
+                if self.closed or not self._waiting:
+                    self._writer = False
+                    self._changed.notify_all()
+                    return
+                data = self._waiting.popleft()
+            try:
+                self._sock.sendall(data)
+            except OSError:
+                self.close()
+            with self._changed:
+                self._size -= len(data)
+
+    def flush(self, until: float) -> bool:
+        """Wait until all is sent, or until this time of the monotonic clock."""
+        with self._changed:
+            while self._writer and not self.closed and (left := until - time.monotonic()) > 0:
+                self._changed.wait(left)
+            return not self._writer
+
+    def close(self) -> None:
+        """End the connection both ways; its reader then sees the end and closes the socket."""
+        with self._changed:
+            self._close()
+
+    def _close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self._waiting.clear()
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
+
+    def release(self) -> None:
+        """Close the socket once no writer uses it; called by the reader, last."""
+        self.close()
+        with self._changed:
+            while self._writer:
+                self._changed.wait(1.0)
+        self._sock.close()
+
+
+class Listener:
+    """Accepts connections on one address, each with a thread of its own."""
+
+    def __init__(self, name: str, address: Address, counters: Counters,
+                 serve: Callable[[socket.socket, Address], None]) -> None:
+        self._name = name
+        self._counters = counters
+        self._serve = serve
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.bind(address)
+        self._sock.listen(BACKLOG)
+        self.address: Address = self._sock.getsockname()
+        self._open = True
+
+    def start(self) -> None:
+        """Start to accept."""
+        spawn(f"{self._name}-accept", self._accept)
+
+    def stop(self) -> None:
+        """Accept no more."""
+        self._open = False
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def _accept(self) -> None:
+        while self._open:
+            try:
+                sock, peer = self._sock.accept()
+            except OSError as error:
+                if not self._open:
+                    break
+                self._counters.add(f"{self._name}.accept_failed")
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    logger.warning("{}: out of descriptors or memory, accepting rests", self._name)
+                    time.sleep(FULL_WAIT_S)  # callers wait in the backlog meanwhile
+                continue
+            self._counters.add(f"{self._name}.accepted")
+            try:
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                spawn(f"{self._name}-reader", partial(self._serve, sock, peer))
+            except (OSError, RuntimeError) as error:
+                logger.error("{}: no thread for a connection: {}", self._name, error)
+                sock.close()
+        self._sock.close()
--- /dev/null
+++ b/reelusher/wire/msgpack.py
@@ -0,0 +1,177 @@
+"""MessagePack, as much as MessagePack-RPC needs: nil, booleans, numbers, strings, binaries, arrays, maps.
+
+`Decoder` is fed bytes as they come and yields whole values. Lengths past the limits are refused from the
+header alone, before anything of that size is read or allocated.
+"""
+
+import struct
+from collections.abc import Iterator
+from typing import Any
+
+MOST_BYTES = 1 << 16  # of one string or binary
+MOST_ITEMS = 256  # of one array or map
+MOST_DEPTH = 8
+MOST_FRAME = 1 << 18  # of one whole value
+
+
+class Malformed(Exception):
+    """The bytes are not MessagePack, or pass a limit."""
+
+
+class _Short(Exception):
+    """The value is not whole yet."""
+
+
+_FIXED = {0xCA: ">f", 0xCB: ">d", 0xCC: ">B", 0xCD: ">H", 0xCE: ">I", 0xCF: ">Q", 0xD0: ">b", 0xD1: ">h",
+          0xD2: ">i", 0xD3: ">q"}
+_LENGTHS = {0xC4: ">B", 0xC5: ">H", 0xC6: ">I", 0xD9: ">B", 0xDA: ">H", 0xDB: ">I", 0xDC: ">H", 0xDD: ">I",
+            0xDE: ">H", 0xDF: ">I"}
+_STRUCTS = {code: struct.Struct(text) for code, text in (_FIXED | _LENGTHS).items()}
+_CONSTANTS = {0xC0: None, 0xC2: False, 0xC3: True}
+
+
+class Decoder:
+    """Splits a stream into values."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._at = 0
+
+    def feed(self, data: bytes) -> Iterator[Any]:
+        """Take more bytes and yield the values that are whole by now."""
+        self._buffer += data
+        while self._buffer:
+            self._at = 0
+            try:
+                value = self._value(0)
+            except _Short:
+                if len(self._buffer) > MOST_FRAME:
+                    raise Malformed(f"a value of more than {MOST_FRAME} bytes") from None
+                return
+            del self._buffer[:self._at]
+            yield value
+
+    def _take(self, size: int) -> bytes:
+        end = self._at + size
+        if end > len(self._buffer):
+            raise _Short
+        data = bytes(self._buffer[self._at:end])
+        self._at = end
+        return data
+
+    def _number(self, code: int) -> Any:
+        form = _STRUCTS[code]
+        if self._at + form.size > len(self._buffer):
+            raise _Short
+        (number,) = form.unpack_from(self._buffer, self._at)
+        self._at += form.size
+        return number
+
+    def _value(self, depth: int) -> Any:
+        if depth > MOST_DEPTH:
+            raise Malformed(f"nested more than {MOST_DEPTH} deep")
+        code = self._take(1)[0]
+        if code < 0x80:
+            return code
+        if code >= 0xE0:
+            return code - 0x100
+        if code in _CONSTANTS:
+            return _CONSTANTS[code]
+        if code in _FIXED:
+            return self._number(code)
+        if 0xA0 <= code < 0xC0:
+            return self._text(code & 0x1F)
+        if code < 0x90:
+            return self._map(code & 0x0F, depth)
+        if code < 0xA0:
+            return self._array(code & 0x0F, depth)
+        if code not in _LENGTHS:
+            raise Malformed(f"type byte {code:#04x} is not supported")
+        length = self._number(code)
+        if code >= 0xDE:
+            return self._map(length, depth)
+        if code >= 0xDC:
+            return self._array(length, depth)
+        return self._text(length) if code >= 0xD9 else self._take(self._checked(length, MOST_BYTES))
+
+    @staticmethod
+    def _checked(length: int, most: int) -> int:
+        if length > most:
+            raise Malformed(f"a length of {length}, {most} at most")
+        return length
+
+    def _text(self, length: int) -> str:
+        try:
+            return self._take(self._checked(length, MOST_BYTES)).decode()
+        except UnicodeDecodeError:
+            raise Malformed("a string that is not UTF-8") from None
+
+    def _array(self, length: int, depth: int) -> list[Any]:
+        return [self._value(depth + 1) for _ in range(self._checked(length, MOST_ITEMS))]
+
+    def _map(self, length: int, depth: int) -> dict[Any, Any]:
+        found = {}
+        for _ in range(self._checked(length, MOST_ITEMS)):
+            key = self._value(depth + 1)
+            if not isinstance(key, (str, int, bytes)):
+                raise Malformed("a map key that is neither a string nor a number")
+            found[key] = self._value(depth + 1)
+        return found
+
+
+def _sized(length: int, small: int | None, small_most: int, codes: tuple[int | None, int, int]) -> bytes:
+    if small is not None and length <= small_most:
+        return bytes([small | length])
+    for code, form, most in zip(codes, (">BB", ">BH", ">BI"), (0xFF, 0xFFFF, 0xFFFFFFFF), strict=True):
+        if code is not None and length <= most:
+            return struct.pack(form, code, length)
+    raise ValueError("too long for MessagePack")
+
+
+def pack(value: Any) -> bytes:
+    """Write a value."""
+    out = bytearray()
+    _pack(value, out)
+    return bytes(out)
+
+
+def _pack(value: Any, out: bytearray) -> None:
+    match value:
+        case None:
+            out.append(0xC0)
+        case bool():
+            out.append(0xC3 if value else 0xC2)
+        case int():
+            out += _pack_int(value)
+        case float():
+            out += struct.pack(">Bd", 0xCB, value)
+        case str():
+            data = value.encode()
+            out += _sized(len(data), 0xA0, 31, (0xD9, 0xDA, 0xDB)) + data
+        case bytes():
+            out += _sized(len(value), None, 0, (0xC4, 0xC5, 0xC6)) + value
+        case list() | tuple():
+            out += _sized(len(value), 0x90, 15, (None, 0xDC, 0xDD))
+            for item in value:
+                _pack(item, out)
+        case dict():
+            out += _sized(len(value), 0x80, 15, (None, 0xDE, 0xDF))
+            for key, item in value.items():
+                _pack(key, out)
+                _pack(item, out)
+        case _:
+            raise TypeError(f"{type(value).__name__} has no MessagePack form here")
+
+
+def _pack_int(value: int) -> bytes:
+    if 0 <= value < 0x80:
+        return bytes([value])
+    if -0x20 <= value < 0:
+        return bytes([value + 0x100])
+    codes = (0xCC, 0xCD, 0xCE, 0xCF) if value >= 0 else (0xD0, 0xD1, 0xD2, 0xD3)
+    for code in codes:
+        try:
+            return bytes([code]) + _STRUCTS[code].pack(value)
+        except struct.error:
+            continue
+    raise ValueError("an integer of more than 64 bits")
