--- a/reelusher/core/timers.py
+++ b/reelusher/core/timers.py
@@ -13,7 +13,7 @@
         self._order = count()
 
     def at(self, when_us: int, action: Callable[[], None]) -> None:
-        """Do something at a time by the clock. It can't be withdrawn: the action checks if it still applies."""
+        """Do something at a time. It can't be withdrawn: the action checks if it still applies."""
         heapq.heappush(self._heap, (when_us, next(self._order), action))
 
     def next_us(self) -> int | None:
