--- /dev/null
+++ b/reelusher/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants, and the API that administers them."""
--- a/reelusher/backends/runtime.py
+++ b/reelusher/backends/runtime.py
@@ -49,6 +49,7 @@
         self._sent: deque[Sent] = deque()
         self._serial = 0  # of the last notice read
         self._links = 0
+        self._closed = False
         self._began = 0.0  # when the runtime started, by the monotonic clock
         self._tells: dict[str, Callable[[dict[str, Any]], None]] = {
             "ready": self._on_ready, "end": self._on_end, "wants": self._on_wants, "load": self._on_load,
@@ -58,6 +59,13 @@
         """Start to hold the link open."""
         spawn("runtime", self._hold)
 
+    def close(self) -> None:
+        """Let go of the link for good."""
+        self._closed = True
+        with self._lock:
+            if self._outbox is not None:
+                self._outbox.close()
+
     @property
     def up(self) -> bool:
         """Tell whether the runtime is there."""
@@ -103,7 +111,7 @@
     # The link
 
     def _hold(self) -> None:
-        while True:
+        while not self._closed:
             try:
                 sock = connect(self._address, CONNECT_S)
             except OSError:
@@ -126,6 +134,8 @@
             with self._lock:
                 self._ready, self._outbox = False, None
             outbox.release()
+            if self._closed:
+                return
             self._counters.add("runtime.link_lost")
             logger.warning("runtime: link lost, connecting again")
             time.sleep(RETRY_S)
--- a/reelusher/backends/vault.py
+++ b/reelusher/backends/vault.py
@@ -77,7 +77,7 @@
         self._post = post
         self._counters = counters
         self._clock = clock
-        self._queue: queue.SimpleQueue[Wanted | GivenUp] = queue.SimpleQueue()
+        self._queue: queue.SimpleQueue[Wanted | GivenUp | None] = queue.SimpleQueue()
         self._line: Line | None = None  # where calls go out
         self._lines: set[Line] = set()  # all that are open, with calls of earlier connections
 
@@ -85,6 +85,12 @@
         """Start to carry calls."""
         spawn("vault-sender", self._send)
 
+    def close(self) -> None:
+        """End all connections."""
+        self._queue.put(None)
+        for line in list(self._lines):
+            line.outbox.close()
+
     def ask(self, call: str, ticket: int, until_us: int, body: bytes) -> None:
         """Make a call."""
         self._queue.put(Wanted(call, ticket, until_us, body))
@@ -94,8 +100,7 @@
         self._queue.put(GivenUp(call, ticket))
 
     def _send(self) -> None:
-        while True:
-            item = self._queue.get()
+        while (item := self._queue.get()) is not None:
             if isinstance(item, GivenUp):
                 self._give_up(item)
             else:
--- /dev/null
+++ b/reelusher/config/operator.py
@@ -0,0 +1,276 @@
+"""The operator's file: the AJP front, the administration API, tenants, workers and balancers, in TOML."""
+
+import tomllib
+from dataclasses import asdict, dataclass
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Any
+
+from reelusher import interface as io
+from reelusher.config.platform import seed_of
+from reelusher.config.table import Address, ConfigError, Table
+from reelusher.wire.ajp13 import DEFAULT_PACKET, KNOWN_NAMES, MOST_PACKET
+
+RUNTIME = "runtime"  # the backend of tenants whose requests run on the platform's runtime
+ACTIVATIONS = ("active", "disabled", "stopped")
+GAUGES = ["busy", "runnable", "memory", "connections"]  # that workers report, in this order
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    """Requests of one class, by method and the beginning of the path."""
+
+    method: str  # or * for any
+    path: str
+    class_name: str
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    """One tenant: which requests are its own, what class they have and what runs them."""
+
+    name: str
+    backend: str  # a worker, a balancer or `runtime`
+    hosts: tuple[str, ...]  # none: any
+    prefix: str
+    key_header: str
+    default_class: str  # of requests that no route names; empty: they are answered 404
+    held_kb: float  # memory booked for a held request beside its body
+    routes: tuple[Route, ...]
+
+    def to_json(self) -> dict[str, Any]:
+        """Return it as the administration API and the operator's file write it."""
+        made = asdict(self)
+        made["hosts"] = list(self.hosts)
+        made["routes"] = [{"method": r.method, "path": r.path, "class": r.class_name} for r in self.routes]
+        if not self.default_class:
+            del made["default_class"]
+        return made
+
+
+@dataclass(slots=True, frozen=True)
+class Worker:
+    """An AJP13 container that requests are forwarded to."""
+
+    name: str
+    host: str
+    port: int
+    secret: str
+    route: str  # that its sessions carry
+    factor: int  # its part of a balancer's requests
+    connections: int
+    connect_timeout_ms: int
+    cping_timeout_ms: int  # 0: no CPing before a request
+    reply_timeout_ms: int
+    recover_ms: int  # how long an unreachable worker is passed by
+    activation: str
+
+
+@dataclass(slots=True, frozen=True)
+class Balancer:
+    """Workers that share requests."""
+
+    name: str
+    members: tuple[str, ...]
+    sticky: bool
+    method: str
+
+
+@dataclass(slots=True, frozen=True)
+class Ajp:
+    """The AJP13 front."""
+
+    listen: Address
+    secret: str
+    packet_size: int
+    max_body_kb: int
+    max_response_kb: int
+    max_connections: int
+    idle_ms: int
+    allowed_attributes: frozenset[str]
+
+
+@dataclass(slots=True, frozen=True)
+class Admin:
+    """The administration API."""
+
+    listen: Address
+    token: str
+    state_file: str  # where changed tenants are kept; empty: nowhere
+
+
+@dataclass(slots=True, frozen=True)
+class Operator:
+    """All that an operator's file says."""
+
+    name: str
+    seed: int
+    stop_ms: int
+    memory_mb: float
+    ajp: Ajp | None
+    admin: Admin | None
+    workers: tuple[Worker, ...]
+    balancers: tuple[Balancer, ...]
+    tenants: tuple[Tenant, ...]
+    settings: io.Settings | None  # None: the platform's hold
+    class_names: tuple[str, ...]
+
+
+def is_loopback(host: str) -> bool:
+    """Tell whether an address can be reached from this machine only."""
+    try:
+        return ip_address(host).is_loopback
+    except ValueError:
+        return host == "localhost"
+
+
+def _read_ajp(table: Table) -> Ajp:
+    table.only("listen", "secret", "packet_size", "max_body_kb", "max_response_kb", "max_connections",
+               "idle_ms", "allowed_attributes")
+    made = Ajp(
+        listen=table.address("listen"), secret=table.text("secret", " ").strip(),
+        packet_size=table.whole("packet_size", DEFAULT_PACKET, DEFAULT_PACKET, MOST_PACKET),
+        max_body_kb=table.whole("max_body_kb", 64, 1, 65536),
+        max_response_kb=table.whole("max_response_kb", 1024, 1, 65536),
+        max_connections=table.whole("max_connections", 400, 1, 10_000),
+        idle_ms=table.whole("idle_ms", 60_000, 100),
+        allowed_attributes=KNOWN_NAMES | set(table.texts("allowed_attributes", ())))
+    if not made.secret and not is_loopback(made.listen[0]):
+        raise ConfigError(table.path("secret"), "required when listening beyond loopback")
+    return made
+
+
+def _read_admin(table: Table) -> Admin:
+    table.only("listen", "token", "state_file")
+    made = Admin(table.address("listen"), table.text("token"), table.text("state_file", " ").strip())
+    if not is_loopback(made.listen[0]):
+        raise ConfigError(table.path("listen"), "the administration API listens on loopback only")
+    if len(made.token) < 16 or not made.token.isascii():
+        raise ConfigError(table.path("token"), "at least 16 ASCII characters are wanted")
+    return made
+
+
+def _read_worker(table: Table) -> Worker:
+    table.only("name", "host", "port", "secret", "route", "factor", "connections", "connect_timeout_ms",
+               "cping_timeout_ms", "reply_timeout_ms", "recover_ms", "activation")
+    name = table.text("name")
+    if name == RUNTIME:
+        raise ConfigError(table.path("name"), f"{RUNTIME} names the platform's runtime")
+    return Worker(
+        name=name, host=table.text("host", "127.0.0.1"), port=table.whole("port", 8009, 1, 65535),
+        secret=table.text("secret", " ").strip(), route=table.text("route", name),
+        factor=table.whole("factor", 1, 1, 1000), connections=table.whole("connections", 32, 1, 1000),
+        connect_timeout_ms=table.whole("connect_timeout_ms", 1000, 1),
+        cping_timeout_ms=table.whole("cping_timeout_ms", 1000),
+        reply_timeout_ms=table.whole("reply_timeout_ms", 30_000, 1),
+        recover_ms=table.whole("recover_ms", 10_000),
+        activation=table.word("activation", ACTIVATIONS, "active"))
+
+
+def _read_balancer(table: Table) -> Balancer:
+    table.only("name", "members", "sticky", "method")
+    return Balancer(table.text("name"), table.texts("members"), table.flag("sticky", True),
+                    table.word("method", ("requests", "busyness"), "requests"))
+
+
+def read_tenant(table: Table, class_names: tuple[str, ...], backends: frozenset[str]) -> Tenant:
+    """Check one tenant, from the operator's file or the administration API."""
+    table.only("name", "backend", "hosts", "prefix", "key_header", "default_class", "held_kb", "routes")
+    routes = []
+    for route in table.tables("routes"):
+        route.only("method", "path", "class")
+        routes.append(Route(route.text("method", "*").upper(), _path(route, "path"),
+                            route.word("class", class_names)))
+    name = table.text("name")
+    if len(name) > 64 or not all(char.isalnum() or char in "-_." for char in name):
+        raise ConfigError(table.path("name"), "1 to 64 letters, digits, dots, dashes, underlines are wanted")
+    return Tenant(
+        name=name, backend=table.word("backend", sorted(backends)),
+        hosts=tuple(host.lower() for host in table.texts("hosts", ())), prefix=_path(table, "prefix"),
+        key_header=table.text("key_header", "X-Request-Key").lower(),
+        default_class=table.word("default_class", class_names) if "default_class" in table else "",
+        held_kb=table.number("held_kb", 16.0, 0.0, 1e6), routes=tuple(routes))
+
+
+def _path(table: Table, key: str) -> str:
+    path = table.text(key, "/")
+    if not path.startswith("/"):
+        raise ConfigError(table.path(key), "a path begins with /")
+    return path
+
+
+def _read_settings(table: Table) -> tuple[io.Settings | None, tuple[str, ...]]:
+    entries, names, classes = table.tables("classes"), [], []
+    for entry in entries:
+        entry.only("name", "deadline_ms", "aim_ms", "worth", "late_share", "effect", "window_ms")
+        effect = io.Effect(entry.word("effect", [effect.value for effect in io.Effect], "safe"))
+        names.append(entry.text("name"))
+        if names[-1] in names[:-1]:
+            raise ConfigError(entry.path("name"), "two classes have this name")
+        keyed = effect is io.Effect.KEYED
+        classes.append(io.RequestClass(
+            deadline_us=entry.whole("deadline_ms", least=1) * 1000, aim_us=entry.whole("aim_ms", 0) * 1000,
+            worth=entry.number("worth", 1.0, 0.0, 1e6), late_share=entry.number("late_share", 0.0, 0.0, 1.0),
+            effect=effect, window_us=entry.whole("window_ms", None if keyed else 0, least=int(keyed)) * 1000))
+    if not classes:
+        return None, ()
+    part = table.table("capacity")
+    part.only("cores", "memory_kb", "run_factor", "crowd_per_core", "entry_kb", "drain_grace_ms", "idle_ms",
+              "retry_after_ms")
+    return io.Settings(
+        classes=classes, cores=part.whole("cores", 4, 1, 1024),
+        memory_kb=part.number("memory_kb", 65_536.0, 1), run_factor=part.number("run_factor", 4.0, 1.0),
+        crowd_per_core=part.number("crowd_per_core", 6.0, 1.0), crowd_over_us=2_000_000, cold_from=1.0,
+        cold_us=0, grace_us=part.whole("drain_grace_ms", 2500) * 1000, slack_us=80_000, tick_us=5_000,
+        entry_kb=part.number("entry_kb", 16.0), idle_us=part.whole("idle_ms", 60_000) * 1000,
+        retry_after_us=part.whole("retry_after_ms", 10_000) * 1000), tuple(names)
+
+
+def parse(value: Any, class_names: tuple[str, ...] = (), has_runtime: bool = False) -> Operator:
+    """Check an operator's file. The class names are the platform's, which go before the file's own."""
+    table = Table(value)
+    table.only("node", "ajp", "admin", "classes", "capacity", "workers", "balancers", "tenants")
+    node = table.table("node")
+    node.only("name", "seed", "stop_ms", "memory_mb")
+    settings, own_names = _read_settings(table)
+    names = class_names or own_names
+    if not names:
+        raise ConfigError("classes", "at least one is needed where no platform tells them")
+    workers = tuple(map(_read_worker, table.tables("workers")))
+    balancers = tuple(map(_read_balancer, table.tables("balancers")))
+    for place, balancer in enumerate(balancers):
+        for member in balancer.members:
+            if member not in {worker.name for worker in workers}:
+                raise ConfigError(f"balancers[{place}].members", f"no worker is named {member!r}")
+    backends = backend_names(workers, balancers, has_runtime)
+    tenants = tuple(read_tenant(entry, names, backends) for entry in table.tables("tenants"))
+    for key, taken in (("workers", [one.name for one in workers] + [one.name for one in balancers]),
+                       ("tenants", [one.name for one in tenants])):
+        for place, name in enumerate(taken):
+            if name in taken[:place]:
+                raise ConfigError(key, f"two have the name {name!r}")
+    return Operator(
+        name=node.text("name", "reelusher"), seed=seed_of(node.text("seed", "1"), "node.seed"),
+        stop_ms=node.whole("stop_ms", 10_000, least=100), memory_mb=node.number("memory_mb", 192.0, 16),
+        ajp=_read_ajp(table.table("ajp")) if "ajp" in table else None,
+        admin=_read_admin(table.table("admin")) if "admin" in table else None,
+        workers=workers, balancers=balancers, tenants=tenants, settings=None if class_names else settings,
+        class_names=names)
+
+
+def backend_names(workers: tuple[Worker, ...], balancers: tuple[Balancer, ...],
+                  has_runtime: bool) -> frozenset[str]:
+    """Return what tenants may name as their backend."""
+    return frozenset({one.name for one in workers} | {one.name for one in balancers}
+                     | ({RUNTIME} if has_runtime else set()))
+
+
+def read(path: str, class_names: tuple[str, ...], has_runtime: bool) -> Operator:
+    """Read the file that REELUSHER_OPERATOR names."""
+    try:
+        value = tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise ConfigError("REELUSHER_OPERATOR", str(error)) from None
+    except ValueError as error:
+        raise ConfigError("REELUSHER_OPERATOR", f"{path} is not TOML: {error}") from None
+    return parse(value, class_names, has_runtime)
--- /dev/null
+++ b/reelusher/config/platform.py
@@ -0,0 +1,88 @@
+"""The platform's configuration: PROXY_CONFIG names a JSON file; PROXY_NAME and PROXY_LISTEN go before it."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from reelusher import interface as io
+from reelusher.config.table import Address, ConfigError, Table, address_of
+from reelusher.settings import Missing, settings_from
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What the platform lets the process use."""
+
+    cores: float
+    memory_mb: float
+    sockets: int
+
+
+@dataclass(slots=True, frozen=True)
+class Platform:
+    """What the platform tells a node."""
+
+    name: str
+    listen: Address
+    runtime: Address
+    directory: Address | None
+    vault: Address | None
+    seed: int
+    stop_ms: int
+    limits: Limits
+    settings: io.Settings
+    gauges: list[str]
+    class_names: list[str]
+
+
+def seed_of(text: str, key: str) -> int:
+    """Read a seed, which is a hexadecimal number."""
+    try:
+        return int(text, 16) % (1 << 64)
+    except ValueError:
+        raise ConfigError(key, f"a hexadecimal number is wanted, not {text!r:.40}") from None
+
+
+def _settings(value: Any) -> tuple[io.Settings, list[str], list[str]]:
+    try:
+        settings, gauges = settings_from(value)
+        names = [str(entry.get("name", place)) for place, entry in enumerate(value["categories"])]
+    except Missing as error:
+        raise ConfigError("settings", str(error).removeprefix("settings: ")) from None
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ConfigError("settings", str(error)) from None
+    if len(set(names)) != len(names):
+        raise ConfigError("settings.categories", "two classes have one name")
+    return settings, gauges, names
+
+
+def parse(value: Any, environ: Mapping[str, str]) -> Platform:
+    """Check what the file says. Keys that are not known are left alone: the platform may add some."""
+    table = Table(value)
+    limits = table.table("limits")
+    settings, gauges, names = _settings(table.raw("settings"))
+    listen = environ.get("PROXY_LISTEN")
+    return Platform(
+        name=environ.get("PROXY_NAME") or table.text("name"),
+        listen=address_of(listen, "PROXY_LISTEN") if listen else table.address("listen"),
+        runtime=table.address("runtime"),
+        directory=table.address("directory") if "directory" in table else None,
+        vault=table.address("vault") if "vault" in table else None,
+        seed=seed_of(table.text("seed", "0"), "seed"),
+        stop_ms=table.whole("stop_ms", 3000, least=100),
+        limits=Limits(limits.number("cores", 1.0, least=0.01), limits.number("memory_mb", 192.0, least=16),
+                      limits.whole("sockets", 1024, least=32)),
+        settings=settings, gauges=gauges, class_names=names)
+
+
+def read(path: str, environ: Mapping[str, str]) -> Platform:
+    """Read the file that PROXY_CONFIG names."""
+    try:
+        value = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError("PROXY_CONFIG", str(error)) from None
+    except ValueError as error:
+        raise ConfigError("PROXY_CONFIG", f"{path} is not JSON: {error}") from None
+    return parse(value, environ)
--- /dev/null
+++ b/reelusher/config/table.py
@@ -0,0 +1,119 @@
+"""Checked access to parsed configuration: each fault is a `ConfigError` that names the key by its path."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """A key is missing or wrong; the text begins with its path."""
+
+    def __init__(self, key: str, why: str) -> None:
+        super().__init__(f"{key}: {why}")
+        self.key = key
+
+
+class Table:
+    """A table of the configuration, with the path that leads to it."""
+
+    def __init__(self, value: Any, path: str = "") -> None:
+        if not isinstance(value, Mapping):
+            raise ConfigError(path or "the whole", f"a table is wanted, not {value!r:.40}")
+        self._value = value
+        self._path = path
+
+    def path(self, key: str) -> str:
+        """Return the full path of a key."""
+        return f"{self._path}.{key}" if self._path else key
+
+    def __contains__(self, key: str) -> bool:
+        return self._value.get(key) is not None
+
+    def raw(self, key: str) -> Any:
+        """Return what stands under a key that must be there."""
+        if key not in self:
+            raise ConfigError(self.path(key), "missing")
+        return self._value[key]
+
+    def only(self, *known: str) -> None:
+        """Refuse keys that nothing reads: most are typing errors."""
+        for key in self._value:
+            if key not in known:
+                raise ConfigError(self.path(str(key)), "unknown key")
+
+    def _wrong(self, key: str, wanted: str) -> ConfigError:
+        return ConfigError(self.path(key), f"{wanted} is wanted, not {self._value[key]!r:.60}")
+
+    def text(self, key: str, default: str | None = None) -> str:
+        """Read a string that is not empty."""
+        if default is not None and key not in self:
+            return default
+        value = self.raw(key)
+        if not isinstance(value, str) or not value:
+            raise self._wrong(key, "a string")
+        return value
+
+    def word(self, key: str, words: Sequence[str], default: str | None = None) -> str:
+        """Read one of some words."""
+        value = self.text(key, default)
+        if value not in words:
+            raise self._wrong(key, "one of " + ", ".join(words))
+        return value
+
+    def number(self, key: str, default: float | None = None, least: float = 0.0,
+               most: float = float("inf")) -> float:
+        """Read a number within bounds."""
+        if default is not None and key not in self:
+            return default
+        value = self.raw(key)
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value <= most:
+            bounds = f"at least {least:g}" if most == float("inf") else f"from {least:g} to {most:g}"
+            raise self._wrong(key, f"a number {bounds}")
+        return float(value)
+
+    def whole(self, key: str, default: int | None = None, least: int = 0, most: int = 1 << 53) -> int:
+        """Read a whole number within bounds."""
+        value = self.number(key, default, least, most)
+        if value != int(value):
+            raise self._wrong(key, "a whole number")
+        return int(value)
+
+    def flag(self, key: str, default: bool) -> bool:
+        """Read true or false."""
+        value = self._value.get(key, default)
+        if not isinstance(value, bool):
+            raise self._wrong(key, "true or false")
+        return value
+
+    def texts(self, key: str, default: Sequence[str] | None = None) -> tuple[str, ...]:
+        """Read a list of strings."""
+        if default is not None and key not in self:
+            return tuple(default)
+        value = self.raw(key)
+        if not isinstance(value, list) or not all(isinstance(item, str) and item for item in value):
+            raise self._wrong(key, "a list of strings")
+        return tuple(value)
+
+    def table(self, key: str) -> "Table":
+        """Read a table; an absent one is empty."""
+        return Table(self._value.get(key, {}), self.path(key))
+
+    def tables(self, key: str) -> list["Table"]:
+        """Read a list of tables; an absent one is empty."""
+        value = self._value.get(key, [])
+        if not isinstance(value, list):
+            raise self._wrong(key, "a list of tables")
+        return [Table(item, f"{self.path(key)}[{place}]") for place, item in enumerate(value)]
+
+    def address(self, key: str) -> Address:
+        """Read HOST:PORT."""
+        return address_of(self.raw(key), self.path(key))
+
+
+def address_of(value: Any, key: str) -> Address:
+    """Read HOST:PORT."""
+    host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not colon or not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
+        raise ConfigError(key, f"HOST:PORT is wanted, not {value!r:.60}")
+    return host, int(port)
--- a/reelusher/core/keys.py
+++ b/reelusher/core/keys.py
@@ -27,8 +27,10 @@
     try is read. So an entry that has run out stays for `tail_us`, longer than any try goes unread.
     """
 
-    def __init__(self, tail_us: int) -> None:
+    def __init__(self, tail_us: int, most_result_bytes: int = 48 << 20) -> None:
         self._tail_us = tail_us
+        self._most_bytes = most_result_bytes
+        self._bytes = 0  # of all kept results
         self._by_key: dict[Key, Entry] = {}
         self._by_holder: dict[int, Entry] = {}
 
@@ -55,9 +57,28 @@
             return
         self._by_key[key] = self._by_holder[holder] = Entry(key, holder, until_us)
 
+    def store(self, entry: Entry, result: Result | None) -> int:
+        """Keep what the holder's run came to; return how many older results had to go to make room.
+
+        An entry that has lost its result still names its original: a repeat fails, it never runs again.
+        """
+        entry.over, entry.result = True, result
+        self._bytes += len(result.body) if result else 0
+        dropped = 0
+        for old in self:
+            if self._bytes <= self._most_bytes:
+                break
+            if old.result is not None and not old.waiting:
+                self._bytes -= len(old.result.body)
+                old.result = None
+                dropped += 1
+        return dropped
+
     def forget(self, holder: int) -> Entry | None:
         """Remove an entry ahead of its time."""
         entry = self._by_holder.pop(holder, None)
+        if entry and entry.result is not None:
+            self._bytes -= len(entry.result.body)
         if entry and self._by_key.get(entry.key) is entry:
             del self._by_key[entry.key]
         return entry
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -42,7 +42,8 @@
 
     def __init__(self, settings: io.Settings, gauges: list[str], seed: int, runner: Runner,
                  dependency: Dependency | None = None, class_names: list[str] | None = None,
-                 clock: Clock | None = None, counters: Counters | None = None) -> None:
+                 clock: Clock | None = None, counters: Counters | None = None,
+                 most_result_bytes: int = 48 << 20) -> None:
         self.settings = settings
         self.gauges = gauges
         self.class_names = class_names or [str(number) for number in range(len(settings.classes))]
@@ -50,7 +51,7 @@
         self.clock = clock or Clock()
         self.told = Told(idle_us=settings.idle_us)
         self.attempts = Attempts()
-        self.keys = KeyTable(max(kind.deadline_us for kind in settings.classes))
+        self.keys = KeyTable(max(kind.deadline_us for kind in settings.classes), most_result_bytes)
         self.runners: dict[str, Runner] = {}  # of tenants that have one of their own
         self.stop_us: int | None = None  # when the process is stopped, once it drains
         self._runner = runner
@@ -137,6 +138,12 @@
         for action in self._controller.handle(self.now, events):
             self._actions[type(action)](action)
 
+    def decisions(self) -> dict[str, float]:
+        """Return what the module steers by at present; called by the owner."""
+        made = self._controller
+        return {"G": round(made.degraded, 3), "cap": made.cap, "refusal": round(made.refusal, 3),
+                "room": round(made.room, 1)}
+
     # What comes in
 
     def runner_of(self, tenant: str) -> Runner:
@@ -191,7 +198,7 @@
         self._unask(attempt)
         entry = self.keys.of(attempt.id)
         if entry:
-            entry.over, entry.result = True, message.result
+            self.counters.add("keys.results_dropped", self.keys.store(entry, message.result))
         if not attempt.answered:
             served = message.outcome is io.Outcome.OK and message.result is not None
             never = message.outcome is io.Outcome.MOOT  # proved never to have started
--- /dev/null
+++ b/reelusher/fronts/ajp.py
@@ -0,0 +1,276 @@
+"""The AJP13 front: what Apache's modules forward, translated to the core's requests and answers."""
+
+import contextlib
+import hmac
+import itertools
+import queue
+import select
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+from loguru import logger
+
+from reelusher import interface as io
+from reelusher.admin.tenants import Match, Tenants
+from reelusher.config.operator import Ajp
+from reelusher.core.model import Answer, Arrived, Request, Verdict
+from reelusher.core.owner import Core
+from reelusher.fronts.platform import subject_of
+from reelusher.net import Address, Listener
+from reelusher.wire import ajp13
+
+SEND_S = 10.0  # a web server that takes no part of an answer for this long loses the connection
+BODY_S = 10.0  # a body that is asked for has come within this
+LEAVE_S = 0.2  # requests that cross the drain's end are still read for this long
+LONGEST_WAIT_S = 3600.0  # no answer takes as long: the core answers by the due time
+REASONS = {400: "Bad Request", 403: "Forbidden", 404: "Not Found", 413: "Content Too Large",
+           500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+class Rejected(Exception):
+    """A request that is answered here and never reaches the core."""
+
+    def __init__(self, status: int, why: str, closes: bool = False) -> None:
+        super().__init__(why)
+        self.status, self.closes = status, closes
+
+
+class Stream:
+    """The packets of one connection, one at a time."""
+
+    def __init__(self, sock: socket.socket, most: int) -> None:
+        self.sock = sock
+        self._packets = ajp13.Packets(ajp13.TO_CONTAINER, most)
+        self._came: Iterator[bytes] = iter(())
+
+    def next(self) -> bytes | None:
+        """Wait for the next payload; None: the web server has closed."""
+        while True:
+            for payload in self._came:
+                return payload
+            data = self.sock.recv(1 << 16)
+            if not data:
+                return None
+            self._came = iter(list(self._packets.feed(data)))
+
+
+class AjpFront:
+    """Listens for web servers. A connection carries one request at a time and has a thread of its own."""
+
+    def __init__(self, core: Core, config: Ajp, tenants: Tenants) -> None:
+        self._core = core
+        self._config = config
+        self._tenants = tenants
+        self._kinds = {name: number for number, name in enumerate(core.class_names)}
+        self._numbers = itertools.count(1)
+        self._prefix = f"ajp{core.clock.now():x}x"
+        self._open: dict[socket.socket, bool] = {}  # connections, and whether a request is open on them
+        self._lock = threading.Lock()
+        self._leaving = False
+        self._listener = Listener("ajp", config.listen, core.counters, self._serve)
+        self.address = self._listener.address
+
+    def start(self) -> None:
+        """Start to listen."""
+        self._listener.start()
+
+    def stop_listening(self) -> None:
+        """Accept no more connections, and let each end after what it carries."""
+        self._leaving = True
+        self._listener.stop()
+
+    def close(self) -> None:
+        """End everything at once."""
+        self.stop_listening()
+        with self._lock:
+            for sock in self._open:
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
+
+    def open_connections(self) -> int:
+        """Count the connections of web servers."""
+        return len(self._open)
+
+    def flush(self, until: float) -> bool:
+        """Wait until all answers are sent, or until this time of the monotonic clock."""
+        while any(list(self._open.values())):
+            if time.monotonic() >= until:
+                return False
+            time.sleep(0.01)
+        return True
+
+    # A connection
+
+    def _serve(self, sock: socket.socket, peer: Address) -> None:
+        with self._lock:
+            full = len(self._open) >= self._config.max_connections
+            if not full:
+                self._open[sock] = False
+        if full:
+            self._core.counters.add("ajp.too_many_connections")
+            sock.close()
+            return
+        try:
+            self._carry(sock)
+        except ajp13.Malformed as error:
+            self._core.counters.add("ajp.malformed")
+            logger.warning("ajp: {}:{} closed for a malformed packet: {}", peer[0], peer[1], error)
+        except OSError as error:
+            logger.debug("ajp: {}", error)
+        finally:
+            with self._lock:
+                del self._open[sock]
+            sock.close()
+
+    def _carry(self, sock: socket.socket) -> None:
+        stream = Stream(sock, self._config.packet_size)
+        while self._wait(sock):
+            sock.settimeout(BODY_S)
+            payload = stream.next()
+            if payload is None:
+                return
+            self._open[sock] = True
+            try:
+                goes_on = self._take(stream, payload)
+            finally:
+                self._open[sock] = False
+            if not goes_on:
+                return
+
+    def _wait(self, sock: socket.socket) -> bool:
+        """Wait for the next request; False: this connection is idle for too long, or the node leaves."""
+        began, waiting = time.monotonic(), select.poll()
+        waiting.register(sock, select.POLLIN)
+        while True:
+            leaving, idle = self._leaving, time.monotonic() - began
+            if waiting.poll(LEAVE_S * 1000):
+                return True
+            if leaving or idle * 1000 > self._config.idle_ms:
+                self._core.counters.add("ajp.closed_idle")
+                return False
+
+    def _take(self, stream: Stream, payload: bytes) -> bool:
+        """Take one packet that begins something; False ends the connection."""
+        kind = payload[0] if payload else 0
+        if kind == ajp13.CPING:
+            stream.sock.sendall(ajp13.write_reply(ajp13.Pong()))
+            return True
+        if kind == ajp13.PING:
+            return True  # of the old protocol; nothing is answered
+        if kind == ajp13.SHUTDOWN:
+            self._core.counters.add("ajp.shutdown_refused")
+            logger.warning("ajp: a shutdown packet was refused")
+            return False
+        try:
+            forward = ajp13.read_forward(payload, self._config.allowed_attributes)
+            answer = self._ask(stream, forward)
+        except ajp13.Forbidden as error:
+            return self._reject(stream, Rejected(403, str(error), closes=True))
+        except Rejected as error:
+            return self._reject(stream, error)
+        return self._send(stream, forward.method, answer)
+
+    # A request
+
+    def _ask(self, stream: Stream, forward: ajp13.Forward) -> Answer:
+        """Hand a request to the core and wait for its one answer."""
+        secret = forward.attributes.get("secret", "")
+        if self._config.secret and not hmac.compare_digest(secret.encode(), self._config.secret.encode()):
+            raise Rejected(403, "the secret is missing or wrong", closes=True)
+        door_us = self._core.clock.now()
+        body = self._body(stream, forward)
+        match = self._match(forward)
+        kind = self._kinds[match.class_name]
+        key = forward.header(match.tenant.key_header) or ""
+        if self._core.settings.classes[kind].effect is io.Effect.KEYED and not 0 < len(key) <= 128:
+            raise Rejected(400, f"requests of {match.class_name} need the header {match.tenant.key_header}")
+        answers: queue.SimpleQueue[Answer] = queue.SimpleQueue()
+        self._core.post(Arrived(self._request(forward, match.tenant.name, kind, body, door_us, key,
+                                              match.tenant.held_kb, answers.put)))
+        return answers.get(timeout=LONGEST_WAIT_S)
+
+    def _request(self, forward: ajp13.Forward, tenant: str, kind: int, body: bytes, door_us: int, key: str,
+                 held_kb: float, reply: Callable[[Answer], None]) -> Request:
+        return Request(
+            call=f"{self._prefix}{next(self._numbers):x}", kind=kind, body=body, door_us=door_us, reply=reply,
+            tenant=tenant, caller=hash_of(forward.remote_addr), subject=subject_of(forward.uri),
+            held_kb=held_kb + len(body) / 1024, key=key, head=forward)
+
+    def _match(self, forward: ajp13.Forward) -> Match:
+        path = forward.uri.partition(";")[0]
+        match = self._tenants.match(forward.method, forward.server_name, path)
+        if match is None or not match.class_name:
+            raise Rejected(404, f"no tenant's route has {forward.method} {path}")
+        return match
+
+    def _body(self, stream: Stream, forward: ajp13.Forward) -> bytes:
+        """Read the body: the first piece comes by itself where a length is told, the rest is asked for."""
+        size, most = forward.body_size(), self._config.max_body_kb * 1024
+        if size is not None and size > most:
+            raise Rejected(413, f"a body of {size} bytes, {most} at most", closes=True)
+        body, asked = bytearray(), size is not None
+        piece = self._config.packet_size - ajp13.BODY_OVERHEAD
+        while size is None or len(body) < size:
+            if not asked:
+                stream.sock.sendall(ajp13.write_reply(ajp13.BodyWanted(
+                    piece if size is None else min(piece, size - len(body)))))
+            asked = False
+            payload = stream.next()
+            if payload is None:
+                raise ConnectionError("closed within a body")
+            data = ajp13.read_body(payload)
+            if not data and size is None:
+                break
+            if not data:
+                raise ajp13.Malformed("a body shorter than its content-length")
+            body += data
+            if len(body) > most:
+                raise Rejected(413, f"a body of more than {most} bytes", closes=True)
+        if size is not None and len(body) > size:
+            raise ajp13.Malformed("a body longer than its content-length")
+        return bytes(body)
+
+    # An answer
+
+    def _reject(self, stream: Stream, error: Rejected) -> bool:
+        self._core.counters.add(f"ajp.rejected_{error.status}")
+        logger.warning("ajp: request answered {}: {}", error.status, error)
+        head = ajp13.ResponseHead(error.status, REASONS[error.status], _text_headers(str(error)))
+        return self._write(stream, head, f"{error}\n".encode(), not error.closes)
+
+    def _send(self, stream: Stream, method: str, answer: Answer) -> bool:
+        """Send the core's answer."""
+        if answer.verdict is Verdict.SERVED and answer.result is not None:
+            result, headers = answer.result, list(answer.result.headers)
+            names = {name.lower() for name, _ in headers}
+            bodiless = method == "HEAD" or result.status in (204, 304)
+            if "content-type" not in names and not bodiless:
+                headers.append(("Content-Type", "application/octet-stream"))
+            if "content-length" not in names and not bodiless:
+                headers.append(("Content-Length", str(len(result.body))))
+            head = ajp13.ResponseHead(result.status, REASONS.get(result.status, "OK"), tuple(headers))
+            return self._write(stream, head, b"" if bodiless else result.body, True)
+        if answer.verdict is Verdict.REFUSED:
+            seconds = max(1, -(-answer.away_us // 1_000_000))
+            headers = [("Retry-After", str(seconds)), *_text_headers("Full")]
+            head = ajp13.ResponseHead(503, REASONS[503], tuple(headers))
+            return self._write(stream, head, b"Full\n", True)
+        head = ajp13.ResponseHead(500, REASONS[500], _text_headers("Failed"))
+        return self._write(stream, head, b"Failed\n", True)
+
+    def _write(self, stream: Stream, head: ajp13.ResponseHead, body: bytes, reuse: bool) -> bool:
+        reuse = reuse and not self._leaving
+        stream.sock.settimeout(SEND_S)
+        stream.sock.sendall(ajp13.write_response(head, body, reuse, self._config.packet_size))
+        return reuse
+
+
+def _text_headers(text: str) -> tuple[tuple[str, str], ...]:
+    return ("Content-Type", "text/plain"), ("Content-Length", str(len(text.encode()) + 1))
+
+
+def hash_of(text: str) -> int:
+    """Map a caller's address to a number, the same in every process."""
+    return subject_of(text) % 65_536
--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -95,6 +95,7 @@
         self._kinds = {name: number for number, name in enumerate(core.class_names)}
         self._connections: set[Connection] = set()
         self._lock = threading.Lock()
+        self._closed = False
         self._listener = Listener("platform", address, core.counters, self._serve)
         self.address = self._listener.address
 
@@ -104,14 +105,18 @@
         spawn("platform-sweeper", self._sweep)
 
     def stop_listening(self) -> None:
-        """Accept no more connections."""
+        """Accept no more connections, and tell callers to send nothing more on those that are open."""
         self._listener.stop()
-
-    def last_call(self) -> None:
-        """Tell all callers to send nothing more on their connections."""
         for connection in self._all():
             connection.last_call(time.monotonic())
 
+    def close(self) -> None:
+        """End everything at once."""
+        self._closed = True
+        self._listener.stop()
+        for connection in self._all():
+            connection.outbox.close()
+
     def open_connections(self) -> int:
         """Count the connections of callers."""
         return len(self._all())
@@ -232,7 +237,7 @@
 
     def _sweep(self) -> None:
         """Close idle connections: `lastCall` first, and never one with open requests."""
-        while True:
+        while not self._closed:
             time.sleep(SWEEP_S)
             now, told = time.monotonic(), self._core.told
             usual = self._core.settings.idle_us
--- /dev/null
+++ b/reelusher/importer/__main__.py
@@ -0,0 +1,46 @@
+"""Write an operator's file from mod_jk's and Apache's files: python -m reelusher.importer --help."""
+
+import argparse
+import sys
+import tomllib
+from pathlib import Path
+
+from reelusher.config import ConfigError
+from reelusher.config.operator import parse
+from reelusher.importer import httpd, jk
+from reelusher.importer.model import Imported
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Read files, write TOML to standard output and what was left out to standard error."""
+    parser = argparse.ArgumentParser("reelusher.importer", description="Write an operator's file.")
+    parser.add_argument("--workers", action="append", default=[], metavar="FILE", help="a workers.properties")
+    parser.add_argument("--httpd", action="append", default=[], metavar="FILE", help="an Apache file")
+    parser.add_argument("--listen", default="127.0.0.1:8009", help="where the AJP front is to listen")
+    parser.add_argument("--strict", action="store_true", help="fail where anything was left out")
+    given = parser.parse_args(arguments)
+    if not given.workers and not given.httpd:
+        parser.error("name at least one file")
+    made = Imported()
+    try:
+        for reader, files in ((jk, given.workers), (httpd, given.httpd)):
+            for file in files:
+                reader.read(Path(file).read_text(), file, made)
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"importer: {error}", file=sys.stderr)
+        return 2
+    for left in made.left:
+        print(left, file=sys.stderr)
+    text = made.to_toml(given.listen)
+    try:
+        parse(tomllib.loads(text))
+    except ConfigError as error:
+        print(f"importer: the result needs work before it starts: {error}", file=sys.stderr)
+        sys.stdout.write(text)
+        return 1
+    sys.stdout.write(text)
+    return 1 if made.left and given.strict else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -5,50 +5,135 @@
 import sys
 import threading
 import time
+from pathlib import Path
+from typing import Any, Protocol
 
 from loguru import logger
 
+from reelusher.admin import tenants as tenancy
+from reelusher.admin.api import AdminApi, Parts
 from reelusher.backends.catalog import Catalog
 from reelusher.backends.runtime import RuntimeLink
 from reelusher.backends.vault import Vault
+from reelusher.backends.workers import BalancedRunner, Pool
 from reelusher.config import PLATFORM_TENANT, Config, ConfigError, load
+from reelusher.config.operator import Operator, backend_names
 from reelusher.core.clock import Clock
 from reelusher.core.counters import Counters
-from reelusher.core.model import DrainOrder
+from reelusher.core.model import DrainOrder, Message, Runner
 from reelusher.core.owner import Core
+from reelusher.fronts.ajp import AjpFront
 from reelusher.fronts.platform import PlatformFront
 
 EXIT_S = 0.25  # before the stop: the process ends by then whatever is left
 CROSSING_S = 0.2  # after `lastCall`, for requests that cross it
 LOOK_S = 0.02
 SWITCH_S = 0.001  # a thread that waits for the interpreter gets it within this
+RESULTS_PART = 0.25  # part of the node's memory that kept results may take
+
+
+class Front(Protocol):
+    """What every front can do."""
+
+    address: tuple[str, int]
+
+    def start(self) -> None:
+        """Start to listen."""
+
+    def stop_listening(self) -> None:
+        """Accept nothing new, and tell callers to send nothing more."""
+
+    def close(self) -> None:
+        """End everything at once."""
+
+    def open_connections(self) -> int:
+        """Count the connections."""
+
+    def flush(self, until: float) -> bool:
+        """Wait until all that is answered is sent, or until this time of the monotonic clock."""
 
 
 class Node:
-    """One booking node, embeddable: `start`, then `leave` to drain."""
+    """One booking node, embeddable: `start` it, wait for `asked_to_leave`, then `leave`."""
 
     def __init__(self, config: Config) -> None:
         self.config = config
-        self.counters, clock = Counters(), Clock()
-        self.runtime = RuntimeLink(config.runtime, lambda message: self.core.post(message), self.counters)
-        self.vault = Vault(config.vault, lambda message: self.core.post(message), self.counters,
-                           clock) if config.vault else None
-        self.core = Core(config.settings, config.gauges, config.seed, self.runtime, self.vault,
-                         config.class_names, clock, self.counters)
-        self.catalog = Catalog(config.directory, config.name, lambda: self.core.told.healthy,
-                               self.counters) if config.directory else None
-        self.platform = PlatformFront(self.core, config.listen, PLATFORM_TENANT)
+        self.asked_to_leave = threading.Event()
+        self.counters, self._clock = Counters(), Clock()
+        self._began = time.monotonic()
+        self.fronts: dict[str, Front] = {}
+        told, own = config.platform, config.operator
+        self._pool = Pool(own.workers if own else (), own.balancers if own else (), config.settings.cores,
+                          self._post, self.counters,
+                          (own.ajp.max_response_kb if own and own.ajp else 1024) * 1024, self._connections)
+        self.runtime = RuntimeLink(told.runtime, self._post, self.counters) if told else None
+        self.vault = Vault(told.vault, self._post, self.counters,
+                           self._clock) if told and told.vault else None
+        # without a runtime, only tenants with workers of their own can be served
+        nobody: Runner = BalancedRunner(self._pool, [], sticky=False, method="requests")
+        self.core = Core(config.settings, config.gauges, config.seed, self.runtime or nobody, self.vault,
+                         config.class_names, self._clock, self.counters,
+                         int(config.memory_mb * RESULTS_PART * (1 << 20)))
+        self.catalog = Catalog(told.directory, told.name, lambda: self.core.told.healthy,
+                               self.counters) if told and told.directory else None
+        if told:
+            self.fronts["platform"] = PlatformFront(self.core, told.listen, PLATFORM_TENANT)
+        self.admin: AdminApi | None = None
+        if own:
+            self._set_up(own)
+
+    def _set_up(self, own: Operator) -> None:
+        """Set up what the operator's file asks for."""
+        backends = backend_names(own.workers, own.balancers, self.config.platform is not None)
+        found = None
+        if own.admin and own.admin.state_file:
+            found = tenancy.saved(Path(own.admin.state_file), own.class_names, backends)
+        tenants = tenancy.Tenants(own.tenants if found is None else found, own.class_names, self._pool.runner,
+                                  self.core.runners, backends)
+        if own.ajp:
+            self.fronts["ajp"] = AjpFront(self.core, own.ajp, tenants)
+        if own.admin:
+            self.admin = AdminApi(own.admin, Parts(self.core, tenants, self._pool, self.status,
+                                                   self.ask_to_leave))
+
+    def _post(self, message: Message) -> None:
+        self.core.post(message)
+
+    def _connections(self) -> int:
+        return sum(front.open_connections() for front in self.fronts.values())
 
     def start(self) -> None:
         """Start all threads."""
         self.core.start()
-        self.runtime.connect()
+        if self.runtime:
+            self.runtime.connect()
         if self.vault:
             self.vault.start()
-        self.platform.start()
+        for name, front in self.fronts.items():
+            front.start()
+            logger.info("{}: the {} front listens on {}:{}", self.config.name, name, *front.address)
+        if self.admin:
+            self.admin.start()
+            logger.info("{}: the administration API listens on {}:{}", self.config.name, *self.admin.address)
         if self.catalog:
             self.catalog.start()
-        logger.info("{} listens on {}:{}", self.config.name, *self.platform.address)
+
+    def status(self) -> dict[str, Any]:
+        """Return how the node stands; called by the owner."""
+        return {"name": self.config.name, "healthy": self.core.told.healthy,
+                "draining": self.core.told.draining, "uptime_s": round(time.monotonic() - self._began, 1),
+                "runtime": None if self.runtime is None else "up" if self.runtime.up else "down",
+                "requests_in_hand": len(self.core.attempts), "unanswered": self.core.attempts.unanswered(),
+                "keys": len(self.core.keys), "fronts": {name: front.open_connections()
+                                                        for name, front in self.fronts.items()},
+                "decisions": self.core.decisions()}
+
+    def ask_to_leave(self) -> bool:
+        """Ask for a drain, from any thread; False where one was asked for before."""
+        if self.asked_to_leave.is_set():
+            return False
+        self.asked_to_leave.set()
+        return True
 
     def leave(self) -> bool:
         """Drain: serve on for the grace, answer all that is read, then return; False if time ran out."""
@@ -59,44 +144,69 @@
         if self.catalog:
             self.catalog.stop()
         logger.info("leaving: to be stopped in {} ms", self.config.stop_ms)
-        grace = min(self.config.settings.grace_us / 1e6, stop_s / 2)
-        time.sleep(grace)  # callers hear late that this node leaves; what comes till then is still run
-        self.platform.stop_listening()
-        self.platform.last_call()
+        # callers hear late that this node leaves; what comes till then is still run
+        time.sleep(max(0.0, min(self.config.settings.grace_us / 1e6, stop_s / 2)))
+        for front in self.fronts.values():
+            front.stop_listening()
         quiet = time.monotonic() + CROSSING_S
         while time.monotonic() < end:
-            if self.core.ask(self.core.attempts.unanswered):
+            if self._unanswered() or not all(self._flushed(time.monotonic())):
                 quiet = max(quiet, time.monotonic() + LOOK_S)
             elif time.monotonic() > quiet:
                 break
             time.sleep(LOOK_S)
-        left = self.core.ask(self.core.attempts.unanswered)
-        flushed = self.platform.flush(end)
+        flushed, left = all(self._flushed(end)), self._unanswered()
         logger.info("left after {:.0f} ms, {} unanswered", (time.monotonic() - began) * 1000, left)
         logger.info("counters: {}", self.counters.snapshot())
         return flushed and not left
 
+    def close(self) -> None:
+        """Take everything down at once; `leave` comes first where answers are owed."""
+        for front in self.fronts.values():
+            front.close()
+        if self.admin:
+            self.admin.close()
+        if self.catalog:
+            self.catalog.stop()
+        if self.vault:
+            self.vault.close()
+        if self.runtime:
+            self.runtime.close()
+        self._pool.executor.shutdown(wait=False, cancel_futures=True)
+        self.core.stop()
 
-def main() -> int:
-    """Run a node until SIGTERM."""
+    def _unanswered(self) -> int:
+        count: int = self.core.ask(self.core.attempts.unanswered)
+        return count
+
+    def _flushed(self, until: float) -> list[bool]:
+        return [front.flush(until) for front in self.fronts.values()]
+
+
+def set_up_log() -> None:
+    """Write log lines to standard error."""
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False,
                diagnose=False)
+
+
+def main() -> int:
+    """Run a node until SIGTERM, or until the administration API drains it."""
+    set_up_log()
     try:
         node = Node(load())
     except ConfigError as error:
         logger.error("configuration: {}", error)
         return 2
     except OSError as error:
-        logger.error("listen: {}", error)
+        logger.error("can't listen: {}", error)
         return 2
-    told = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: told.set())
+        signal.signal(number, lambda *_: node.ask_to_leave())
     sys.setswitchinterval(SWITCH_S)
     gc.collect()
-    gc.freeze()
+    gc.freeze()  # what is there now stays; collections need not look at it
     node.start()
-    told.wait()
+    node.asked_to_leave.wait()
     node.leave()
     return 0
--- /dev/null
+++ b/reelusher/wire/ajp13.py
@@ -0,0 +1,339 @@
+"""AJP13: packets, forwarded requests and responses, both ways, as Apache's modules and Tomcat speak them.
+
+A web server's packets begin with 0x1234, a container's with "AB". Everything here is bytes in, values out.
+"""
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+TO_CONTAINER, TO_SERVER = b"\x12\x34", b"AB"
+FORWARD, SHUTDOWN, PING, CPING = 2, 7, 8, 10  # to the container
+BODY_CHUNK, HEADERS, END, GET_BODY, CPONG = 3, 4, 5, 6, 9  # to the server
+DEFAULT_PACKET, MOST_PACKET = 8192, 65536
+BODY_OVERHEAD = 6  # of a packet that carries a piece of a request's body: magic, length, its own length
+CHUNK_OVERHEAD = 8  # of one that carries a piece of a response's body
+MOST_HEADERS = 128
+NULL = 0xFFFF
+
+METHODS = dict(enumerate(
+    ["OPTIONS", "GET", "HEAD", "POST", "PUT", "DELETE", "TRACE", "PROPFIND", "PROPPATCH", "MKCOL", "COPY",
+     "MOVE", "LOCK", "UNLOCK", "ACL", "REPORT", "VERSION-CONTROL", "CHECKIN", "CHECKOUT", "UNCHECKOUT",
+     "SEARCH", "MKWORKSPACE", "UPDATE", "LABEL", "MERGE", "BASELINE-CONTROL", "MKACTIVITY"], 1))
+METHOD_CODES = {name: code for code, name in METHODS.items()}
+STORED_METHOD = 0xFF
+REQUEST_HEADERS = dict(enumerate(
+    ["accept", "accept-charset", "accept-encoding", "accept-language", "authorization", "connection",
+     "content-type", "content-length", "cookie", "cookie2", "host", "pragma", "referer", "user-agent"],
+    0xA001))
+RESPONSE_HEADERS = dict(enumerate(
+    ["Content-Type", "Content-Language", "Content-Length", "Date", "Last-Modified", "Location", "Set-Cookie",
+     "Set-Cookie2", "Servlet-Engine", "Status", "WWW-Authenticate"], 0xA001))
+REQUEST_CODES = {name: code for code, name in REQUEST_HEADERS.items()}
+RESPONSE_CODES = {name.lower(): code for code, name in RESPONSE_HEADERS.items()}
+ATTRIBUTES = {0x03: "remote_user", 0x04: "auth_type", 0x05: "query_string", 0x06: "route", 0x07: "ssl_cert",
+              0x08: "ssl_cipher", 0x09: "ssl_session", 0x0C: "secret", 0x0D: "stored_method"}
+ATTRIBUTE_CODES = {name: code for code, name in ATTRIBUTES.items()}
+NAMED_ATTRIBUTE, KEY_SIZE, LAST_ATTRIBUTE = 0x0A, 0x0B, 0xFF
+NEVER_SENT = {0x01: "context", 0x02: "servlet_path"}  # in the protocol, but no module of Apache sends them
+KNOWN_NAMES = frozenset({"AJP_REMOTE_PORT", "AJP_LOCAL_ADDR", "AJP_SSL_PROTOCOL", "JK_LB_ACTIVATION"})
+
+
+class Malformed(Exception):
+    """The bytes are not AJP13, or pass a limit."""
+
+
+class Forbidden(Exception):
+    """A well-formed request that is refused whatever it asks for: an attribute that no web server sends."""
+
+
+@dataclass(slots=True)
+class Forward:
+    """A request as a web server forwards it. Header names are in lower case."""
+
+    method: str = "GET"
+    uri: str = "/"
+    protocol: str = "HTTP/1.1"
+    remote_addr: str = "127.0.0.1"
+    remote_host: str | None = None
+    server_name: str = "localhost"
+    server_port: int = 80
+    is_ssl: bool = False
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    attributes: dict[str, str] = field(default_factory=dict)
+    named: list[tuple[str, str]] = field(default_factory=list)  # further attributes, by their own names
+    ssl_key_size: int | None = None
+
+    def header(self, name: str) -> str | None:
+        """Return the first header of this name, given in lower case."""
+        return next((value for key, value in self.headers if key == name), None)
+
+    def body_size(self) -> int | None:
+        """Return how much body follows; None: not told, it has to be asked for."""
+        text = self.header("content-length")
+        if text is None:
+            return None if "chunked" in (self.header("transfer-encoding") or "").lower() else 0
+        if not (text.isascii() and text.isdigit() and len(text) < 16):
+            raise Malformed("a content-length that is no number")
+        return int(text)
+
+
+class Packets:
+    """Splits a stream into packets."""
+
+    def __init__(self, magic: bytes, most: int = DEFAULT_PACKET) -> None:
+        self._magic = magic
+        self._most = most - 4
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Take more bytes and yield the payloads that are whole by now."""
+        self._buffer += data
+        while len(self._buffer) >= 4:
+            if self._buffer[:2] != self._magic:
+                raise Malformed("a packet that does not begin as AJP13 packets do")
+            size = self._buffer[2] << 8 | self._buffer[3]
+            if size > self._most:
+                raise Malformed(f"a packet of {size} bytes, {self._most} at most")
+            if len(self._buffer) < 4 + size:
+                return
+            payload = bytes(self._buffer[4:4 + size])
+            del self._buffer[:4 + size]
+            yield payload
+
+
+class Reader:
+    """Takes values off a payload."""
+
+    def __init__(self, payload: bytes) -> None:
+        self._data = payload
+        self._at = 0
+
+    def take(self, size: int) -> bytes:
+        """Take so many bytes."""
+        end = self._at + size
+        if end > len(self._data):
+            raise Malformed("a packet that ends too soon")
+        data = self._data[self._at:end]
+        self._at = end
+        return data
+
+    def byte(self) -> int:
+        """Take a byte."""
+        return self.take(1)[0]
+
+    def word(self) -> int:
+        """Take an integer of two bytes."""
+        data = self.take(2)
+        return data[0] << 8 | data[1]
+
+    def maybe(self) -> str | None:
+        """Take a string that may be null."""
+        size = self.word()
+        return None if size == NULL else self._text(size)
+
+    def text(self) -> str:
+        """Take a string; null counts as empty."""
+        return self.maybe() or ""
+
+    def header(self, codes: dict[int, str]) -> str:
+        """Take a header's name: a code of two bytes, or a string."""
+        size = self.word()
+        if size & 0xFF00 != 0xA000:
+            return self._text(size)
+        if size not in codes:
+            raise Malformed(f"an unknown header code {size:#06x}")
+        return codes[size]
+
+    def _text(self, size: int) -> str:
+        data = self.take(size + 1)
+        if data[-1]:
+            raise Malformed("a string without its closing zero")
+        return data[:-1].decode("latin-1")
+
+
+def packet(magic: bytes, payload: bytes) -> bytes:
+    """Wrap a payload."""
+    if len(payload) > MOST_PACKET - 4:
+        raise ValueError("too long for an AJP13 packet")
+    return magic + struct.pack(">H", len(payload)) + payload
+
+
+def _string(text: str | None) -> bytes:
+    if text is None:
+        return b"\xff\xff"
+    data = text.encode("latin-1", "replace")
+    if len(data) >= 0xA000:
+        raise ValueError("too long for an AJP13 string")
+    return struct.pack(">H", len(data)) + data + b"\0"
+
+
+def _header(name: str, value: str, codes: dict[str, int]) -> bytes:
+    code = codes.get(name.lower())
+    return (_string(name) if code is None else struct.pack(">H", code)) + _string(value)
+
+
+def read_forward(payload: bytes, allowed: frozenset[str] = KNOWN_NAMES) -> Forward:
+    """Read a forwarded request, type byte included."""
+    reader = Reader(payload)
+    if reader.byte() != FORWARD:
+        raise Malformed("not a forwarded request")
+    code = reader.byte()
+    made = Forward(METHODS.get(code, ""), protocol=reader.text(), uri=reader.text(),
+                   remote_addr=reader.text(), remote_host=reader.maybe(), server_name=reader.text(),
+                   server_port=reader.word(), is_ssl=bool(reader.byte()))
+    count = reader.word()
+    if count > MOST_HEADERS:
+        raise Malformed(f"{count} headers, {MOST_HEADERS} at most")
+    made.headers = [(reader.header(REQUEST_HEADERS).lower(), reader.text()) for _ in range(count)]
+    if sum(name == "content-length" for name, _ in made.headers) > 1:
+        raise Malformed("two content-lengths")
+    refused = _read_attributes(reader, made, allowed)
+    if code == STORED_METHOD:
+        made.method = made.attributes.get("stored_method", "")
+    if not made.method:
+        raise Malformed(f"an unknown method {code}")
+    if refused:
+        raise Forbidden(f"the attribute {refused} is not one that web servers send")
+    return made
+
+
+def _read_attributes(reader: Reader, made: Forward, allowed: frozenset[str]) -> str:
+    """Read the attributes; return the name of one that is refused."""
+    refused = ""
+    while (code := reader.byte()) != LAST_ATTRIBUTE:
+        if code in ATTRIBUTES:
+            made.attributes[ATTRIBUTES[code]] = reader.text()
+        elif code == KEY_SIZE:
+            made.ssl_key_size = reader.word()
+        elif code == NAMED_ATTRIBUTE:
+            name, value = reader.text(), reader.text()
+            made.named.append((name, value))
+            refused = refused or ("" if name in allowed else name)
+        elif code in NEVER_SENT:
+            reader.text()
+            refused = refused or NEVER_SENT[code]
+        else:
+            raise Malformed(f"an unknown attribute {code:#04x}")
+    return refused
+
+
+def write_forward(request: Forward) -> bytes:
+    """Write a forwarded request as a packet."""
+    code = METHOD_CODES.get(request.method, STORED_METHOD)
+    attributes = dict(request.attributes)
+    if code == STORED_METHOD:
+        attributes["stored_method"] = request.method
+    out = bytearray([FORWARD, code])
+    for text in (request.protocol, request.uri, request.remote_addr, request.remote_host,
+                 request.server_name):
+        out += _string(text)
+    out += struct.pack(">HBH", request.server_port, request.is_ssl, len(request.headers))
+    for name, value in request.headers:
+        out += _header(name, value, REQUEST_CODES)
+    for name, value in attributes.items():
+        out.append(ATTRIBUTE_CODES[name])
+        out += _string(value)
+    for name, value in request.named:
+        out += bytes([NAMED_ATTRIBUTE]) + _string(name) + _string(value)
+    if request.ssl_key_size is not None:
+        out += struct.pack(">BH", KEY_SIZE, request.ssl_key_size)
+    out.append(LAST_ATTRIBUTE)
+    return packet(TO_CONTAINER, bytes(out))
+
+
+def read_body(payload: bytes) -> bytes:
+    """Read a piece of a request's body; an empty one ends it."""
+    if not payload:
+        return b""
+    reader = Reader(payload)
+    return reader.take(reader.word())
+
+
+def write_body(data: bytes) -> bytes:
+    """Write a piece of a request's body; an empty one ends it."""
+    return packet(TO_CONTAINER, struct.pack(">H", len(data)) + data if data else b"")
+
+
+@dataclass(slots=True, frozen=True)
+class ResponseHead:
+    """Status and headers of a response."""
+
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class ResponseBody:
+    """A piece of a response's body."""
+
+    data: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class ResponseEnd:
+    """The end of a response; the connection may be used again or not."""
+
+    reuse: bool
+
+
+@dataclass(slots=True, frozen=True)
+class BodyWanted:
+    """The container asks for so much more of the request's body."""
+
+    size: int
+
+
+@dataclass(slots=True, frozen=True)
+class Pong:
+    """The answer to a ping."""
+
+
+Reply = ResponseHead | ResponseBody | ResponseEnd | BodyWanted | Pong
+
+
+def read_reply(payload: bytes) -> Reply:
+    """Read what a container sends."""
+    reader = Reader(payload)
+    kind = reader.byte()
+    if kind == HEADERS:
+        status, reason, count = reader.word(), reader.text(), reader.word()
+        if count > MOST_HEADERS:
+            raise Malformed(f"{count} headers, {MOST_HEADERS} at most")
+        headers = tuple((reader.header(RESPONSE_HEADERS), reader.text()) for _ in range(count))
+        return ResponseHead(status, reason, headers)
+    if kind == BODY_CHUNK:
+        return ResponseBody(reader.take(reader.word()))
+    if kind == END:
+        return ResponseEnd(bool(reader.byte()))
+    if kind == GET_BODY:
+        return BodyWanted(reader.word())
+    if kind == CPONG:
+        return Pong()
+    raise Malformed(f"an unknown packet type {kind}")
+
+
+def write_reply(reply: Reply) -> bytes:
+    """Write what a container sends as a packet."""
+    match reply:
+        case ResponseHead(status, reason, headers):
+            out = struct.pack(">BH", HEADERS, status) + _string(reason) + struct.pack(">H", len(headers))
+            out += b"".join(_header(name, value, RESPONSE_CODES) for name, value in headers)
+        case ResponseBody(data):
+            out = struct.pack(">BH", BODY_CHUNK, len(data)) + data + b"\0"
+        case ResponseEnd(reuse):
+            out = bytes([END, reuse])
+        case BodyWanted(size):
+            out = struct.pack(">BH", GET_BODY, size)
+        case Pong():
+            out = bytes([CPONG])
+    return packet(TO_SERVER, out)
+
+
+def write_response(head: ResponseHead, body: bytes, reuse: bool, most: int = DEFAULT_PACKET) -> bytes:
+    """Write a whole response: head, body in pieces that fit packets, end."""
+    size = most - CHUNK_OVERHEAD
+    pieces = [ResponseBody(body[at:at + size]) for at in range(0, len(body), size)]
+    replies: list[Reply] = [head, *pieces, ResponseEnd(reuse)]
+    return b"".join(map(write_reply, replies))
