--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run sim
 
 build:
 	test -x .venv/bin/python || python3 -m venv .venv
@@ -13,4 +13,7 @@
 	.venv/bin/python -m pytest -q
 
 run:
-	.venv/bin/python -O -m reelusher
+	exec .venv/bin/python -O -m reelusher
+
+sim:
+	exec .venv/bin/python -m reelusher.benchlink
--- a/reelusher/config/operator.py
+++ b/reelusher/config/operator.py
@@ -35,6 +35,7 @@
     prefix: str
     key_header: str
     default_class: str  # of requests that no route names; empty: they are answered 404
+    max_open: int  # requests in hand past which it is refused; 0: no bound of its own
     held_kb: float  # memory booked for a held request beside its body
     routes: tuple[Route, ...]
 
@@ -175,7 +176,8 @@
 
 def read_tenant(table: Table, class_names: tuple[str, ...], backends: frozenset[str]) -> Tenant:
     """Check one tenant, from the operator's file or the administration API."""
-    table.only("name", "backend", "hosts", "prefix", "key_header", "default_class", "held_kb", "routes")
+    table.only("name", "backend", "hosts", "prefix", "key_header", "default_class", "max_open",
+               "held_kb", "routes")
     routes = []
     for route in table.tables("routes"):
         route.only("method", "path", "class")
@@ -189,6 +191,7 @@
         hosts=tuple(host.lower() for host in table.texts("hosts", ())), prefix=_path(table, "prefix"),
         key_header=table.text("key_header", "X-Request-Key").lower(),
         default_class=table.word("default_class", class_names) if "default_class" in table else "",
+        max_open=table.whole("max_open", 0),
         held_kb=table.number("held_kb", 16.0, 0.0, 1e6), routes=tuple(routes))
 
 
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from loguru import logger
@@ -25,6 +26,7 @@
 GUARD_US = 40_000  # part of the slack left to the guard that answers what the module has not
 STOP_GUARD_US = 150_000  # before the stop: all that is read is answered by then
 SWEEP_US = 1_000_000  # between sweeps of the table of keys
+REARM_US = 100_000  # until the next tick where a fault has lost the module's timer
 
 
 @dataclass(slots=True)
@@ -63,6 +65,7 @@
         self._new_keys: set[Key] = set()  # keys of requests in that batch
         self._ticks: dict[str, int] = {}  # cookies of ticks that wait for gauges, and their labels
         self._cookies = self._tickets = 0
+        self._armed = 0  # timers of the module that are set, or wait for their gauges
         self._handlers: dict[type, Callable[[Any], None]] = {
             Arrived: self._arrived, Left: self._left, RunOver: self._run_over, CallWanted: self._call_wanted,
             CallOver: self._call_over, GaugesRead: self._gauges_read, RunsLost: self._runs_lost,
@@ -123,9 +126,21 @@
         """Handle one batch at one time by the clock."""
         self.now = self.clock.now()
         for message in batch:
-            self._handlers[type(message)](message)
-        self._timers.run_due(self.now)
-        self._flush()
+            self._guarded(partial(self._handlers[type(message)], message))
+        self._timers.run_due(self.now, self._guarded)
+        self._guarded(self._flush)
+        if not self._armed:  # the module's one timer was lost with what failed
+            self._do_timer(io.Timer(REARM_US, 0))
+
+    def _guarded(self, step: Callable[[], None]) -> None:
+        """Take a step. In release builds a fault in one must not end the thread that all wait for."""
+        try:
+            step()
+        except Exception:
+            self.counters.add("owner.failed")
+            logger.exception("the owner failed at a step")
+            if __debug__:
+                raise
 
     def _flush(self) -> None:
         """Hand the gathered events to the module and carry out what it wants."""
@@ -238,7 +253,7 @@
         label = self._ticks.pop(message.cookie, None)
         if label is not None:
             known = {name: value for name, value in zip(self.gauges, message.stats, strict=False) if name}
-            self._events.append(io.Tick(label, io.Gauges(**known)))
+            self._tick(io.Tick(label, io.Gauges(**known)))
 
     def _runs_lost(self, message: RunsLost) -> None:
         for attempt in self.attempts:
@@ -373,7 +388,12 @@
     def _do_close_idle(self, action: io.CloseIdle) -> None:
         self.told.idle_us = action.after_us or self.settings.idle_us
 
+    def _tick(self, event: io.Tick) -> None:
+        self._armed -= 1
+        self._events.append(event)
+
     def _do_timer(self, action: io.Timer) -> None:
+        self._armed += 1
         self._timers.at(self.now + action.in_us, lambda: self._timer_due(action.label))
 
     def _timer_due(self, label: int) -> None:
@@ -381,7 +401,7 @@
         self._cookies += 1
         cookie = f"t{self._cookies}"
         if not self._runner.ask_gauges(cookie):
-            self._events.append(io.Tick(label, io.Gauges()))
+            self._tick(io.Tick(label, io.Gauges()))
             return
         self._ticks[cookie] = label
         self._timers.at(self.now + GAUGES_WAIT_US, lambda: self._tick_late(cookie))
@@ -390,7 +410,7 @@
         label = self._ticks.pop(cookie, None)
         if label is not None:
             self.counters.add("gauges.missing")
-            self._events.append(io.Tick(label, io.Gauges()))
+            self._tick(io.Tick(label, io.Gauges()))
 
     # Answers
 
--- a/reelusher/core/timers.py
+++ b/reelusher/core/timers.py
@@ -20,10 +20,10 @@
         """Return when the earliest is due."""
         return self._heap[0][0] if self._heap else None
 
-    def run_due(self, now_us: int) -> None:
-        """Run all that are due; what they set for now waits for the next call."""
+    def run_due(self, now_us: int, run: Callable[[Callable[[], None]], None]) -> None:
+        """Have all that are due run; what they set for now waits for the next call."""
         due = []
         while self._heap and self._heap[0][0] <= now_us:
             due.append(heapq.heappop(self._heap)[2])
         for action in due:
-            action()
+            run(action)
--- a/reelusher/fronts/ajp.py
+++ b/reelusher/fronts/ajp.py
@@ -8,13 +8,14 @@
 import socket
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator
 
 from loguru import logger
 
 from reelusher import interface as io
 from reelusher.admin.tenants import Match, Tenants
-from reelusher.config.operator import Ajp
+from reelusher.config.operator import Ajp, Tenant
 from reelusher.core.model import Answer, Arrived, Request, Verdict
 from reelusher.core.owner import Core
 from reelusher.fronts.platform import subject_of
@@ -67,6 +68,7 @@
         self._numbers = itertools.count(1)
         self._prefix = f"ajp{core.clock.now():x}x"
         self._open: dict[socket.socket, bool] = {}  # connections, and whether a request is open on them
+        self._in_hand: Counter[str] = Counter()  # requests by tenant
         self._lock = threading.Lock()
         self._leaving = False
         self._listener = Listener("ajp", config.listen, core.counters, self._serve)
@@ -186,10 +188,28 @@
         key = forward.header(match.tenant.key_header) or ""
         if self._core.settings.classes[kind].effect is io.Effect.KEYED and not 0 < len(key) <= 128:
             raise Rejected(400, f"requests of {match.class_name} need the header {match.tenant.key_header}")
-        answers: queue.SimpleQueue[Answer] = queue.SimpleQueue()
-        self._core.post(Arrived(self._request(forward, match.tenant.name, kind, body, door_us, key,
-                                              match.tenant.held_kb, answers.put)))
-        return answers.get(timeout=LONGEST_WAIT_S)
+        tenant = match.tenant
+        if not self._enter(tenant):
+            answer = Answer(Verdict.REFUSED)
+        else:
+            answers: queue.SimpleQueue[Answer] = queue.SimpleQueue()
+            try:
+                self._core.post(Arrived(self._request(forward, tenant.name, kind, body, door_us, key,
+                                                      tenant.held_kb, answers.put)))
+                answer = answers.get(timeout=LONGEST_WAIT_S)
+            finally:
+                with self._lock:
+                    self._in_hand[tenant.name] -= 1
+        self._core.counters.add(f"tenant.{tenant.name}.{answer.verdict.value}")
+        return answer
+
+    def _enter(self, tenant: Tenant) -> bool:
+        """Count a request as its tenant's; False where its bound is reached, so that none takes all."""
+        with self._lock:
+            if tenant.max_open and self._in_hand[tenant.name] >= tenant.max_open:
+                return False
+            self._in_hand[tenant.name] += 1
+            return True
 
     def _request(self, forward: ajp13.Forward, tenant: str, kind: int, body: bytes, door_us: int, key: str,
                  held_kb: float, reply: Callable[[Answer], None]) -> Request:
--- a/reelusher/net.py
+++ b/reelusher/net.py
@@ -16,6 +16,7 @@
 STACK_BYTES = 256 * 1024  # of every thread; the deepest parser needs a small part of that
 BACKLOG = 512
 CHUNK = 1 << 16
+LOOK_S = 0.1  # between looks whether a listener is to stop
 FULL_WAIT_S = 0.05  # accept rests this long while there is no descriptor to be had
 
 Address = tuple[str, int]
@@ -133,23 +134,31 @@
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.bind(address)
         self._sock.listen(BACKLOG)
+        self._sock.settimeout(LOOK_S)
         self.address: Address = self._sock.getsockname()
         self._open = True
+        self._thread: threading.Thread | None = None
 
     def start(self) -> None:
         """Start to accept."""
-        spawn(f"{self._name}-accept", self._accept)
+        self._thread = spawn(f"{self._name}-accept", self._accept)
 
     def stop(self) -> None:
-        """Accept no more."""
+        """Accept no more, after all that callers have connected by now: what they sent there must be read."""
         self._open = False
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
+        if self._thread is None:
+            self._sock.close()
+        elif self._thread is not threading.current_thread():
+            self._thread.join(4 * LOOK_S)
 
     def _accept(self) -> None:
-        while self._open:
+        while True:
             try:
                 sock, peer = self._sock.accept()
+            except TimeoutError:
+                if not self._open:
+                    break
+                continue
             except OSError as error:
                 if not self._open:
                     break
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -184,10 +184,13 @@
 
 
 def set_up_log() -> None:
-    """Write log lines to standard error."""
+    """Write log lines to standard error, faults in threads among them."""
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False,
                diagnose=False)
+    threading.excepthook = lambda fault: logger.opt(
+        exception=(fault.exc_type, fault.exc_value or fault.exc_type(), fault.exc_traceback)).error(
+            "a thread failed: {}", fault.thread.name if fault.thread else "")
 
 
 def main() -> int:
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -281,10 +281,10 @@
             forward.attributes["secret"] = given["secret"]
         if "attribute" in given:
             forward.named.append((given["attribute"], "x"))
-        sock.sendall(ajp13.write_forward(forward))
         pieces = [body[at:at + 8186] for at in range(0, len(body), 8186)]
-        self.pieces = pieces[1:]
-        if pieces and "chunked" not in plain:
+        self.pieces = pieces[1:]  # before the request goes out: what asks for them is read by another thread
+        sock.sendall(ajp13.write_forward(forward))
+        if pieces:
             sock.sendall(ajp13.write_body(pieces[0]))
 
     def note(self, payload: bytes) -> str | None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -81,7 +81,8 @@
             "balancers": [{"name": "both", "members": ["w1", "w2"]}],
             "tenants": [{"name": "clinic", "backend": "both", "hosts": ["clinic"], "routes": ROUTES,
                          "default_class": "slot-search"},
-                        {"name": "single", "backend": "w1", "hosts": ["single"], "routes": ROUTES},
+                        {"name": "single", "backend": "w1", "hosts": ["single"], "routes": ROUTES,
+                         "max_open": 2},
                         {"name": "platform", "backend": "runtime", "routes": ROUTES}]}
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -72,7 +72,7 @@
     for when in (3, 1, 2, 9):
         timers.at(when, lambda when=when: ran.append(when))  # type: ignore[misc]
     timers.at(2, lambda: timers.at(0, lambda: ran.append(0)))
-    timers.run_due(3)
+    timers.run_due(3, lambda action: action())
     assert ran == [1, 2, 3] and timers.next_us() == 0
 
 
@@ -209,6 +209,22 @@
     assert made.backend.said[-1] == ("start", "a")
 
 
+def test_a_fault_in_the_owner_is_told_at_once_in_debug_builds_and_ticks_go_on() -> None:
+    made = World()
+    made.core._controller.handle = broken  # type: ignore[method-assign]
+    with pytest.raises(ZeroDivisionError):
+        made.turn(later_us=200_000)
+    assert made.count("owner.failed") == 1
+    made.core._armed = 0
+    made.core._controller.handle = lambda now_us, events: []  # type: ignore[method-assign]
+    made.turn()
+    assert made.core._armed == 1
+
+
+def broken(now_us: int, events: list[io.Event]) -> list[io.Action]:
+    raise ZeroDivisionError
+
+
 def test_what_must_hold_is_asserted_in_debug_builds() -> None:
     counters = Counters()
     assert counters.must(True, "fine")
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -373,6 +373,16 @@
         w1 expect POST /visits x
         w1 send 200 s
         a2 expect 200 s""",
+    "a tenant past its own bound is refused, the others are not": """
+        a1 send GET /days host=single
+        w1 expect GET /days
+        a2 send GET /days host=single
+        w1 expect GET /days
+        a3 send GET /days host=single
+        a3 expect 503 Full reuse=1 retry=1
+        node expect count tenant.single.refused 1
+        w1 send 200 r
+        a2 expect 200 r""",
     "a worker that breaks may have run it: no failover, and repeats fail too": """
         a1 send POST /visits host=clinic key=K body=x
         w1 expect POST /visits x
