Report unmounted workers, check standing, state two more invariants

Seen as a new user: an import of a workers.properties alone gives workers that no tenant names, and said nothing of it. A standing out of range went unnoticed. The owner now states that a drain runs nothing late and that a join has an original.

--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -56,6 +56,7 @@
         self.keys = KeyTable(max(kind.deadline_us for kind in settings.classes), most_result_bytes)
         self.runners: dict[str, Runner] = {}  # of tenants that have one of their own
         self.stop_us: int | None = None  # when the process is stopped, once it drains
+        self._grace_end_us: int | None = None  # what reaches the machine later is not run
         self._runner = runner
         self._dependency = dependency
         self._controller = Controller(settings, seed)
@@ -263,6 +264,7 @@
     def _drain(self, message: DrainOrder) -> None:
         if self.stop_us is None:
             self.stop_us = self.now + message.left_us
+            self._grace_end_us = self.now + self.settings.grace_us
             self.told.draining = True
             for attempt in self.attempts:
                 self._set_guard(attempt)
@@ -291,6 +293,9 @@
         once = kind.effect is not io.Effect.KEYED or not attempt.request.key or entry is not None
         if not self.counters.must(once, "a keyed try runs only while it holds its entry"):
             return
+        in_time = self._grace_end_us is None or attempt.request.door_us <= self._grace_end_us
+        if not self.counters.must(in_time, "a drain runs nothing that came after the grace"):
+            return
         attempt.stage, attempt.ran = Stage.RUNNING, True
         self.counters.add("runs.started")
         attempt.runner.start(attempt.request, self.class_names[attempt.request.kind])
@@ -359,7 +364,7 @@
         original = self.keys.original(self._key(attempt.request), attempt.request.door_us)
         entry = self.keys.of(original)
         self.counters.add("keys.joined")
-        if entry is None:
+        if not self.counters.must(entry is not None, "a join has an original") or entry is None:
             self._end_join(attempt, None)
         else:
             entry.waiting.append(attempt.id)
--- a/reelusher/fronts/ajp.py
+++ b/reelusher/fronts/ajp.py
@@ -270,7 +270,7 @@
                 headers.append(("Content-Type", "application/octet-stream"))
             if "content-length" not in names and not bodiless:
                 headers.append(("Content-Length", str(len(result.body))))
-            head = ajp13.ResponseHead(result.status, REASONS.get(result.status, "OK"), tuple(headers))
+            head = ajp13.ResponseHead(result.status, str(result.status), tuple(headers))
             return self._write(stream, head, b"" if bodiless else result.body, True)
         if answer.verdict is Verdict.REFUSED:
             seconds = max(1, -(-answer.away_us // 1_000_000))
--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -209,6 +209,7 @@
             raise BadRequest("unique or item is malformed")
         if self._core.settings.classes[kind].effect is io.Effect.KEYED and not key:
             raise BadRequest("unique is missing")
+        number_of(fields, "standing", 0, 1, 0)  # the module ranks by class alone; a bad one is still an error
         door_ms = number_of(fields, "door", 0, 1e15, self._core.clock.now() / 1000)
         return Request(
             call=call, kind=kind, body=body, door_us=int(door_ms * 1000),
--- a/reelusher/importer/__main__.py
+++ b/reelusher/importer/__main__.py
@@ -29,6 +29,7 @@
     except (OSError, UnicodeDecodeError) as error:
         print(f"importer: {error}", file=sys.stderr)
         return 2
+    made.leave_unmounted()
     for left in made.left:
         print(left, file=sys.stderr)
     text = made.to_toml(given.listen)
--- a/reelusher/importer/jk.py
+++ b/reelusher/importer/jk.py
@@ -49,6 +49,7 @@
     if not listed:
         into.leave(file, 1, "worker.list names no worker")
     wanted = [name for name, _ in listed]
+    into.listed += [(name, file, line) for name, line in listed]
     for name, line in listed:
         if name not in sections:
             into.leave(file, line, f"worker.list names {name}, which nothing describes")
--- a/reelusher/importer/model.py
+++ b/reelusher/importer/model.py
@@ -30,6 +30,7 @@
     balancers: dict[str, dict[str, Any]] = field(default_factory=dict)
     tenants: dict[str, dict[str, Any]] = field(default_factory=dict)
     left: list[Left] = field(default_factory=list)
+    listed: list[tuple[str, str, int]] = field(default_factory=list)  # backends meant for requests, and where
 
     def leave(self, file: str, line: int, why: str) -> None:
         """Note what could not be carried over."""
@@ -44,6 +45,13 @@
             return
         self.tenants[name] = {"name": name, "prefix": prefix, "backend": backend, "default_class": "request"}
 
+    def leave_unmounted(self) -> None:
+        """Note the backends that no path leads to: they get no requests until a tenant names them."""
+        mounted = {tenant["backend"] for tenant in self.tenants.values()}
+        for name, file, line in self.listed:
+            if name not in mounted and (name in self.workers or name in self.balancers):
+                self.leave(file, line, f"{name}: no JkMount or ProxyPass leads to it, so no tenant names it")
+
     def to_toml(self, listen: str = "127.0.0.1:8009") -> str:
         """Write an operator's file."""
         return HEAD + tomli_w.dumps({
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -195,6 +195,11 @@
         "alone": {"name": "alone", "host": "127.0.0.1", "reply_timeout_ms": 2000}}
     assert made.balancers == {"lb": {"name": "lb", "members": ["n1", "n2"], "sticky": False}}
     assert sorted(map(str, made.left)) == sorted(JK_LEFT)
+    httpd.read("JkMount /a/* lb\n", "h", made)
+    made.left.clear()
+    made.leave_unmounted()
+    assert list(map(str, made.left)) == [
+        "w:3: alone: no JkMount or ProxyPass leads to it, so no tenant names it"]
 
 
 HTTPD = """\
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -98,7 +98,9 @@
         c1 expect 3 Bad why=unique
         c1 send 4 slot-search body=2049*x
         c1 expect 4 Bad
-        node expect count requests.bad 4
+        c1 send 6 slot-search standing=1.5
+        c1 expect 6 Bad why=standing
+        node expect count requests.bad 5
         c1 send 5 slot-search body=2048*x
         runtime expect start * as X
         runtime send end $X ok 4096*y
