--- a/reelusher/choice.py
+++ b/reelusher/choice.py
@@ -18,15 +18,15 @@
 
 PERIOD_US = 100_000  # of the one timer: loop, cap, sweep; an answer is at most this late for its margin
 MARGIN_US = 60_000  # answers are given this long, a period and two ticks before they are due
-TARGET = 0.85  # Ut, the busy share of the cores that the loop steers to
-KP, KI = 0.5, 0.05  # of the loop: what one unit of error adds to G at once, and each period
+TARGET = 0.88  # Ut, the busy share of the cores that the loop steers to
+KP, KI = 0.25, 0.015  # of the loop: what one unit of error adds to G at once, and each period
 GROWTH = 1  # running requests added to the cap each period in which cores are free and work is held
 CROWDED = 1.5  # runnable for each core above which the cap shrinks again
 CROWD_PART = 0.8  # part of the survivable crowd that may run, all at a call included
 MEMORY_RUN = 0.85  # part of the memory up to which work is started
 MEMORY_HOLD = 0.93  # part of the memory up to which arrivals are held and keys kept
 ROOM_MOST = 8.0  # requests in the worker for each core that callers are told of at most
-LATE = 0.12  # part of the shortest aim: waits above it refuse arrivals and shrink the room told
+LATE = 0.08  # part of the shortest aim: waits above it refuse arrivals and shrink the room told
 COMING, USUAL = 0.05, 0.02  # weights of the newest period in the mean arrivals, lately and with short waits
 MORE = 1.2  # times the usual arrivals: the fleet is full, refused callers should not try elsewhere
 SICK, SICK_US = 0.7, 4_000_000  # unread for that part of the shortest aim: health bad, for so long at least
