--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -214,7 +214,9 @@
         self._unask(attempt)
         entry = self.keys.of(attempt.id)
         if entry:
-            self.counters.add("keys.results_dropped", self.keys.store(entry, message.result))
+            dropped = self.keys.store(entry, message.result)
+            if dropped:
+                self.counters.add("keys.results_dropped", dropped)
         if not attempt.answered:
             served = message.outcome is io.Outcome.OK and message.result is not None
             never = message.outcome is io.Outcome.MOOT  # proved never to have started
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -3,6 +3,7 @@
 import errno
 import json
 import os
+import queue
 import signal
 import socket
 import subprocess
@@ -16,13 +17,17 @@
 import scenario
 
 from reelusher.admin import tenants
+from reelusher.backends import vault
 from reelusher.config import ConfigError, load
 from reelusher.config.operator import parse as parse_operator
 from reelusher.config.platform import parse as parse_platform
+from reelusher.core.clock import Clock
 from reelusher.core.counters import Counters
+from reelusher.core.model import CallOver, Message
 from reelusher.importer import httpd, jk
 from reelusher.importer.__main__ import main as run_importer
 from reelusher.importer.model import Imported
+from reelusher.interface import Outcome
 from reelusher.net import Listener, Outbox
 
 ROOT = Path(__file__).parent.parent
@@ -306,3 +311,43 @@
     batch = bytes.fromhex("01000000 5a5c800000000000 04000000 00000000")
     done = subprocess.run(deployed("sim"), cwd=ROOT, input=batch, capture_output=True, timeout=60, check=True)
     assert done.stdout == bytes.fromhex("01000000 00000000 00000000")
+
+
+def test_an_idle_connection_to_the_vault_is_not_used_again() -> None:
+    """The vault closes at 10 s idle: a call that crossed that close would prove nothing and be failed."""
+    came: queue.SimpleQueue[Message] = queue.SimpleQueue()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        made = vault.Vault(listener.getsockname(), came.put, Counters(), Clock())
+        made.start()
+        lines_open = []
+        for number, call in enumerate(("aa", "bb", "cc")):
+            made.ask(call, number, Clock().now() + 60_000_000, b"q")
+            if call != "bb":  # the second goes out on the first one's connection
+                lines_open.append(listener.accept()[0])
+            assert lines_open[-1].recv(100).startswith(f"ask {call} ".encode())
+            lines_open[-1].sendall(f"{call} notnow\r\n".encode())
+            assert came.get(timeout=10) == CallOver(call, number, Outcome.REJECTED)
+            if call == "bb":
+                assert made._line is not None
+                made._line.used -= vault.IDLE_S
+        made.close()
+
+
+def test_a_call_given_up_goes_out_anew_on_another_connection() -> None:
+    """A late reply to the first could be taken for the second one's: both carry one id."""
+    came: queue.SimpleQueue[Message] = queue.SimpleQueue()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        made = vault.Vault(listener.getsockname(), came.put, Counters(), Clock())
+        made.start()
+        made.ask("aa", 1, Clock().now() + 60_000_000, b"q")
+        first = listener.accept()[0]
+        assert first.recv(100).startswith(b"ask aa ")
+        made.unask("aa", 1)
+        assert first.recv(100) == b"unask aa\r\n"
+        made.ask("aa", 2, Clock().now() + 60_000_000, b"q")
+        second = listener.accept()[0]
+        assert second.recv(100).startswith(b"ask aa ")
+        first.sendall(b"aa yes 4\r\nlate\r\n")
+        second.sendall(b"aa yes 3\r\nnew\r\n")
+        assert came.get(timeout=10) == CallOver("aa", 2, Outcome.OK, b"new")
+        made.close()
