--- a/tests/parties.py
+++ b/tests/parties.py
@@ -40,6 +40,7 @@
         self.names: dict[str, str] = world.setdefault("names", {})
         self.came: queue.Queue[str] = queue.Queue()
         self.sock: socket.socket | None = None
+        self.reader: threading.Thread | None = None
 
     def expect(self, words: Words) -> None:
         """Take the next thing that came and compare it, word by word; `*` stands for any word."""
@@ -73,7 +74,8 @@
                 pass
             self.came.put("closed")
 
-        threading.Thread(target=work, daemon=True).start()
+        self.reader = threading.Thread(target=work, daemon=True)
+        self.reader.start()
 
     def dial(self, place: str, decoder: Any, note: Callable[[Any], str | None]) -> socket.socket:
         """Connect to the node, once."""
@@ -94,6 +96,8 @@
 class Server(Party):
     """A stand-in that the node connects to; its newest connection is the one in use."""
 
+    one_at_a_time = False
+
     def __init__(self, world: dict[str, Any]) -> None:
         super().__init__(world)
         self.open = True
@@ -107,6 +111,8 @@
                 self.sock, _ = self.listener.accept()
             except OSError:
                 return
+            if self.one_at_a_time and self.reader is not None:
+                self.reader.join(PATIENCE_S)  # the old link's end is told before the new one's beginning
             self.read(*self.codec())
 
     def codec(self) -> tuple[Any, Callable[[Any], str | None]]:
@@ -156,6 +162,8 @@
 class Runtime(Server):
     """The runtime: answers `sync` and gauges by itself, `send end $X ok BODY`, `send wants $X BODY`."""
 
+    one_at_a_time = True
+
     def __init__(self, world: dict[str, Any]) -> None:
         super().__init__(world)
         self.serial, self.ready, self.gauges = 0, True, True
