--- a/reelusher/backends/catalog.py
+++ b/reelusher/backends/catalog.py
@@ -27,9 +27,14 @@
         self._healthy = healthy
         self._counters = counters
         self._sock: socket.socket | None = None
+        self._connected: Address | None = None  # where that leads
         self._stopped = threading.Event()
         self._failing = False
 
+    def move(self, address: Address) -> None:
+        """Report to another address from the next report on."""
+        self._address = address
+
     def start(self) -> None:
         """Start to report."""
         spawn("catalog", self._report)
@@ -60,20 +65,23 @@
         """Send one report; a kept connection that has gone stale is opened anew, once."""
         body = json.dumps({"status": "passing" if self._healthy() else "critical"},
                           separators=(",", ":")).encode()
-        host = f"{self._address[0]}:{self._address[1]}"
+        address = self._address
+        if address != self._connected:
+            self._drop()
+        host = f"{address[0]}:{address[1]}"
         message = http1.request("PUT", self._path, body, {"Host": host, "Content-Type": "application/json"})
         kept = self._sock is not None
         try:
-            self._exchange(message)
+            self._exchange(address, message)
         except OSError:
             if not kept:
                 raise
             self._drop()
-            self._exchange(message)
+            self._exchange(address, message)
 
-    def _exchange(self, message: bytes) -> None:
+    def _exchange(self, address: Address, message: bytes) -> None:
         if self._sock is None:
-            self._sock = connect(self._address, TIMEOUT_S)
+            self._sock, self._connected = connect(address, TIMEOUT_S), address
             self._sock.settimeout(TIMEOUT_S)
         self._sock.sendall(message)
         decoder = http1.Decoder()
--- a/reelusher/backends/runtime.py
+++ b/reelusher/backends/runtime.py
@@ -1,8 +1,9 @@
 """The link to the runtime: commands out, notices in, and the way back after a broken link."""
 
+import contextlib
+import socket
 import threading
 import time
-from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -22,13 +23,56 @@
         "void": io.Outcome.MOOT}
 
 
-class Sent:
-    """A command that the runtime may not have read yet; a mark (no line) stands for asked gauges."""
+class Unproved:
+    """Commands that the runtime may not have read yet, in the order in which they went out.
 
-    __slots__ = ("call", "line", "cookie")
+    Each notice and each answered mark settles some, so nothing here looks through all of them.
+    """
 
-    def __init__(self, call: str, line: bytes, cookie: str = "") -> None:
-        self.call, self.line, self.cookie = call, line, cookie
+    def __init__(self) -> None:
+        self._lines: dict[int, tuple[str, bytes]] = {}  # by order: the run and its command
+        self._of_call: dict[str, list[int]] = {}
+        self._marks: dict[str, int] = {}  # cookies of asked gauges: how much went out before them
+        self._last = 0
+
+    def __len__(self) -> int:
+        return len(self._lines)
+
+    def add(self, call: str, line: bytes) -> None:
+        """Note a command."""
+        self._last += 1
+        self._lines[self._last] = call, line
+        self._of_call.setdefault(call, []).append(self._last)
+
+    def mark(self, cookie: str) -> None:
+        """Note that gauges are asked for, behind all that went out by now."""
+        self._marks[cookie] = self._last
+
+    def answered(self, cookie: str) -> None:
+        """Drop what went out before these gauges were asked for."""
+        upto = self._marks.pop(cookie, 0)
+        while self._lines and (order := next(iter(self._lines))) <= upto:
+            call, _ = self._lines.pop(order)
+            left = self._of_call[call]
+            left.remove(order)  # the first of a few
+            if not left:
+                del self._of_call[call]
+
+    def noticed(self, call: str) -> None:
+        """Drop what went out for a run that a notice speaks of."""
+        for order in self._of_call.pop(call, ()):
+            del self._lines[order]
+
+    def on_new_link(self) -> list[bytes]:
+        """Return what is to be sent again; gauges asked for on the old link get no answer."""
+        self._marks.clear()
+        return [line for _, line in self._lines.values()]
+
+    def clear(self) -> None:
+        """Forget all of it."""
+        self._lines.clear()
+        self._of_call.clear()
+        self._marks.clear()
 
 
 class RuntimeLink:
@@ -40,13 +84,15 @@
     """
 
     def __init__(self, address: Address, post: Callable[[Message], None], counters: Counters) -> None:
-        self._address = address
+        self._address = address  # where the link is to lead
+        self._linked: Address | None = None  # where it leads
+        self._next: tuple[Address, socket.socket] | None = None  # opened by a move, replaces the link in use
         self._post = post
         self._counters = counters
         self._lock = threading.Lock()
         self._outbox: Outbox | None = None
         self._ready = False  # caught up with the runtime on this link
-        self._sent: deque[Sent] = deque()
+        self._sent = Unproved()
         self._serial = 0  # of the last notice read
         self._links = 0
         self._closed = False
@@ -59,6 +105,33 @@
         """Start to hold the link open."""
         spawn("runtime", self._hold)
 
+    def move(self, address: Address) -> None:
+        """Go on at another address. The old link serves until the new one stands; runs go on over it."""
+        with self._lock:
+            if address == self._address:
+                return
+            self._address = address
+        spawn("runtime-move", lambda: self._dial(address))
+
+    def _dial(self, address: Address) -> None:
+        """Open the link that is to replace the one in use, unless a later move or the reader is ahead."""
+        while True:
+            sock = None
+            with contextlib.suppress(OSError):
+                sock = connect(address, CONNECT_S)
+            with self._lock:
+                wanted = address == self._address != self._linked and not self._closed
+                if wanted and sock is not None:
+                    unused = self._next  # of a move before, not taken up yet
+                    self._next, sock, wanted = (address, sock), unused[1] if unused else None, False
+                    if self._outbox is not None:
+                        self._outbox.close()  # its reader sees the end and takes up the next link
+            if sock is not None:
+                sock.close()
+            if not wanted:
+                return
+            time.sleep(RETRY_S)
+
     def close(self) -> None:
         """Let go of the link for good."""
         self._closed = True
@@ -98,28 +171,48 @@
         with self._lock:
             if not self._ready or self._outbox is None:
                 return False
-            self._sent.append(Sent("", b"", cookie))
+            self._sent.mark(cookie)
             return self._outbox.send(lines.json_line({"msg": "gauges", "cookie": cookie}))
 
     def _command(self, word: str, call: str, **more: Any) -> None:
         line = lines.json_line({"msg": word, "call": call, **more})
         with self._lock:
-            self._sent.append(Sent(call, line))
+            self._sent.add(call, line)
             if self._ready and self._outbox is not None:
                 self._outbox.send(line)
 
     # The link
 
+    def _open(self) -> socket.socket | None:
+        """Return the next link: the one that a move has opened, or a new one."""
+        with self._lock:
+            address = self._address
+            moved, self._next = self._next, None
+            if moved is not None:
+                self._linked = moved[0]
+                return moved[1]
+        try:
+            sock = connect(address, CONNECT_S)
+        except OSError:
+            return None
+        with self._lock:
+            if self._next is None:
+                self._linked = address
+                return sock
+        sock.close()  # a move was faster
+        return None
+
     def _hold(self) -> None:
         while not self._closed:
-            try:
-                sock = connect(self._address, CONNECT_S)
-            except OSError:
+            sock = self._open()
+            if sock is None:
                 time.sleep(RETRY_S)
                 continue
             outbox = Outbox(sock, BACKLOG_BYTES)
             with self._lock:
                 self._outbox, self._links = outbox, self._links + 1
+                if self._next is not None:
+                    outbox.close()
             outbox.send(lines.json_line({"msg": "sync", "serial": self._serial}))
             try:
                 decoder = lines.JsonLines()
@@ -132,10 +225,14 @@
             except OSError as error:
                 logger.debug("runtime: {}", error)
             with self._lock:
-                self._ready, self._outbox = False, None
+                self._ready, self._outbox, self._linked = False, None, None
+                moved = self._next is not None
             outbox.release()
             if self._closed:
                 return
+            if moved:
+                logger.info("runtime: the link moves to {}:{}", *self._address)
+                continue
             self._counters.add("runtime.link_lost")
             logger.warning("runtime: link lost, connecting again")
             time.sleep(RETRY_S)
@@ -175,13 +272,13 @@
     def _catch_up(self) -> None:
         """Send again what may have been lost, now that all missed notices are read."""
         with self._lock:
-            self._sent = deque(sent for sent in self._sent if sent.line)
+            lost = self._sent.on_new_link()
             self._ready = True
             if self._outbox is not None:
-                for sent in self._sent:
-                    self._outbox.send(sent.line)
-                if self._links > 1 and self._sent:
-                    self._counters.add("runtime.sent_again", len(self._sent))
+                for line in lost:
+                    self._outbox.send(line)
+                if self._links > 1 and lost:
+                    self._counters.add("runtime.sent_again", len(lost))
 
     def _on_load(self, message: dict[str, Any]) -> None:
         cookie = str(message["cookie"])
@@ -189,16 +286,13 @@
             self._catch_up()
             return
         with self._lock:
-            if any(sent.cookie == cookie for sent in self._sent):
-                while self._sent.popleft().cookie != cookie:
-                    pass
+            self._sent.answered(cookie)
         self._post(GaugesRead(cookie, tuple(float(value) for value in message["stats"])))
 
     def _proved(self, call: str) -> None:
         """Note that the runtime has read what was sent for this run."""
         with self._lock:
-            if any(sent.call == call for sent in self._sent):
-                self._sent = deque(sent for sent in self._sent if sent.call != call)
+            self._sent.noticed(call)
 
     def _on_end(self, message: dict[str, Any]) -> None:
         call, outcome = str(message["call"]), ENDS[message["how"]]
--- a/reelusher/backends/vault.py
+++ b/reelusher/backends/vault.py
@@ -45,7 +45,8 @@
 class Line:
     """One connection to the vault."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, address: Address, sock: socket.socket) -> None:
+        self.address = address
         self.sock = sock
         self.outbox = Outbox(sock, BACKLOG_BYTES)
         self.lock = threading.Lock()
@@ -91,6 +92,10 @@
         for line in list(self._lines):
             line.outbox.close()
 
+    def move(self, address: Address) -> None:
+        """Make new calls at another address; those that are out end where they were made."""
+        self._address = address
+
     def ask(self, call: str, ticket: int, until_us: int, body: bytes) -> None:
         """Make a call."""
         self._queue.put(Wanted(call, ticket, until_us, body))
@@ -126,7 +131,8 @@
         line.outbox.send(lines.vault_ask(wanted.call, left_ms, wanted.body))
 
     def _usable_line(self, call: str) -> Line | None:
-        if self._line is not None and self._line.usable(call):
+        address = self._address
+        if self._line is not None and self._line.address == address and self._line.usable(call):
             return self._line
         if self._line is not None:
             with self._line.lock:
@@ -134,7 +140,7 @@
             if idle:
                 self._line.outbox.close()
         try:
-            self._line = Line(connect(self._address, CONNECT_S))
+            self._line = Line(address, connect(address, CONNECT_S))
         except OSError as error:
             self._line = None
             self._counters.add("vault.unreachable")
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -5,6 +5,8 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -24,11 +26,13 @@
 from reelusher.core.owner import Core
 from reelusher.fronts.ajp import AjpFront
 from reelusher.fronts.platform import PlatformFront
+from reelusher.net import spawn
 
 EXIT_S = 0.25  # before the stop: the process ends by then whatever is left
 CROSSING_S = 0.2  # after `lastCall`, for requests that cross it
 LOOK_S = 0.02
 SWITCH_S = 0.001  # a thread that waits for the interpreter gets it within this
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 RESULTS_PART = 0.25  # part of the node's memory that kept results may take
 
 
@@ -135,6 +139,40 @@
         self.asked_to_leave.set()
         return True
 
+    def reload(self, read: Callable[[], Config] = load) -> bool:
+        """Take up the addresses of a new configuration; False where it can't be used and the old one stands.
+
+        Requests in hand and runs go on. Whatever else the new one says counts from the next start.
+        """
+        try:
+            config = read()
+        except ConfigError as error:  # half written, or wrong: never a reason to end
+            self.counters.add("reload.refused")
+            logger.error("reload: the configuration in service stands: {}", error)
+            return False
+        told, before = config.platform, self.config.platform
+        if told is None or before is None or (told.vault is None) is not (self.vault is None) or (
+                told.directory is None) is not (self.catalog is None):
+            self.counters.add("reload.refused")
+            logger.error("reload: the configuration in service stands: only a start adds or removes parts")
+            return False
+        if self.runtime:
+            self.runtime.move(told.runtime)
+        if self.vault and told.vault:
+            self.vault.move(told.vault)
+        if self.catalog and told.directory:
+            self.catalog.move(told.directory)
+        moved = {name: getattr(told, name) for name in ("runtime", "vault", "directory")
+                 if getattr(told, name) != getattr(before, name)}
+        if replace(told, runtime=before.runtime, vault=before.vault, directory=before.directory) != before:
+            logger.warning("reload: what is new beside addresses counts from the next start")
+        self.config = replace(self.config, platform=replace(
+            before, runtime=told.runtime, vault=told.vault, directory=told.directory))
+        self.counters.add("reload.done")
+        logger.info("reload: new addresses: {}", ", ".join(
+            f"{name} {address[0]}:{address[1]}" for name, address in moved.items() if address) or "none")
+        return True
+
     def leave(self) -> bool:
         """Drain: serve on for the grace, answer all that is read, then return; False if time ran out."""
         began = time.monotonic()
@@ -193,8 +231,20 @@
             "a thread failed: {}", fault.thread.name if fault.thread else "")
 
 
+def heed_signals(node: Node) -> None:
+    """Wait for signals, in a thread of its own, while the node serves and while it drains."""
+    while True:
+        if signal.sigwait(SIGNALS) is signal.SIGHUP:
+            node.reload()
+        else:
+            node.ask_to_leave()
+
+
 def main() -> int:
     """Run a node until SIGTERM, or until the administration API drains it."""
+    # Blocked before anything else, and so in all threads: a signal waits until `heed_signals` takes it
+    # and never ends the process, not even a SIGHUP during the start.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     set_up_log()
     try:
         node = Node(load())
@@ -204,8 +254,7 @@
     except OSError as error:
         logger.error("can't listen: {}", error)
         return 2
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: node.ask_to_leave())
+    spawn("signals", lambda: heed_signals(node))
     sys.setswitchinterval(SWITCH_S)
     gc.collect()
     gc.freeze()  # what is there now stays; collections need not look at it
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -190,6 +190,8 @@
         word, *rest = words
         if word in ("ready", "gauges"):
             setattr(self, word, rest == ["on"])
+        elif word == "number":  # of the last notice so far, where another link had it
+            self.serial = int(rest[0])
         elif word == "raw":
             self.write(" ".join(rest).encode() + b"\n")
         elif word == "again":  # what was sent before, as after a `sync` that asks for it
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,6 +1,7 @@
 """The scenario language: one step a line, `PARTY send|expect|close ...` or `wait SECONDS`; # begins a remark.
 
-Parties: c1, c2 … callers; runtime, vault, catalog; a1, a2 … web servers; w1, w2 … AJP workers; admin; node
+Parties: c1, c2 … callers; runtime, vault, catalog, and runtime2, vault2, catalog2 after `node send reload
+2`; a1, a2 … web servers; w1, w2 … AJP workers; admin; node
 (`node send term`, `node expect left`, `node expect count NAME N`). `as X` at the end of an expectation names
 the second word of what came; `$X` stands for it.
 """
@@ -32,6 +33,7 @@
     "rules": {"tip_multiple": 6.0, "fall_us": 2_000_000, "cold_from": 0.31, "cold_us": 18_000_000,
               "drain_grace_us": 300_000, "answer_slack_us": 80_000},
     "limits": {"retry_after": True, "max_retry_after_us": 1_000_000}, "tick_us": 5_000}
+SERVERS = ("runtime", "vault", "catalog")
 ROUTES = [{"method": "POST", "path": "/visits", "class": "book-visit"},
           {"method": "*", "path": "/days", "class": "day-view"}]
 
@@ -39,14 +41,18 @@
 class NodeParty:
     """The node itself."""
 
-    def __init__(self, node: Node) -> None:
-        self.node = node
+    def __init__(self, node: Node, world: dict[str, Any]) -> None:
+        self.node, self.world = node, world
         self.left: list[bool] = []
         self.thread = threading.Thread(target=lambda: self.left.append(node.leave()), daemon=True)
 
     def send(self, words: list[str]) -> None:
         if words[0] == "idle":  # as the module would say
             self.node.core.told.idle_us = int(words[1])
+        elif words[0] == "reload":  # 2: at the second addresses; KEY=VALUE: with something else changed
+            new = platform_config(self.world, words[1] if words[1] == "2" else "",
+                                  **dict(word.split("=") for word in words[1:] if "=" in word))
+            self.node.reload(lambda: merge(parse_platform(new, {}), self.node.config.operator))
         else:
             self.thread.start()
 
@@ -65,9 +71,9 @@
             time.sleep(0.02)
 
 
-def platform_config(world: dict[str, Any], **changes: Any) -> dict[str, Any]:
+def platform_config(world: dict[str, Any], which: str = "", **changes: Any) -> dict[str, Any]:
     """Return the platform's configuration for a node among the stand-ins."""
-    places = {name: "{}:{}".format(*world[name].address) for name in ("runtime", "vault", "catalog")}
+    places = {name: "{}:{}".format(*world[name + which].address) for name in SERVERS}
     return {"name": "n3", "listen": "127.0.0.1:0", "runtime": places["runtime"], "seed": "8c1f",
             "directory": places["catalog"], "vault": places["vault"], "stop_ms": 4000,
             "settings": SETTINGS, **changes}
@@ -90,8 +96,10 @@
     """Play a scenario against a node of its own. Lines that begin with `with` come first and change it."""
     steps = [line.split("#")[0].split() for line in text.strip().splitlines() if line.split("#")[0].strip()]
     world: dict[str, Any] = {"count": itertools.count(1)}
-    world |= {"runtime": parties.Runtime(world), "vault": parties.VaultParty(world),
-              "catalog": parties.CatalogParty(world), "w1": parties.Container(world),
+    for which in ("", "2"):
+        world |= {"runtime" + which: parties.Runtime(world), "vault" + which: parties.VaultParty(world),
+                  "catalog" + which: parties.CatalogParty(world)}
+    world |= {"w1": parties.Container(world),
               "w2": parties.Container(world), "admin": parties.Operator(world)}
     changes = dict(word.split("=", 1) for step in steps if step[0] == "with" for word in step[1:])
     if changes.pop("busy", ""):
@@ -102,7 +110,7 @@
     node = Node(merge(told, parse_operator(own, tuple(told.class_names), has_runtime=True)))
     world["places"] = {name: front.address for name, front in node.fronts.items()}
     assert node.admin is not None
-    world["places"]["admin"], world["node"] = node.admin.address, NodeParty(node)
+    world["places"]["admin"], world["node"] = node.admin.address, NodeParty(node, world)
     node.start()
     world["runtime"].expect(["sync", "0"])
     try:
@@ -118,5 +126,6 @@
                     raise AssertionError(f"at {' '.join(step)!r}: {error!r}") from error
     finally:
         node.close()
-        for name in ("runtime", "vault", "catalog", "w1", "w2"):
-            world[name].close(["listener"])
+        for party in world.values():
+            if isinstance(party, parties.Server):
+                party.close(["listener"])
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -284,6 +284,12 @@
         caller.sendall(bytes.fromhex("9400 01 a6 6865616c7468 91 80"))
         answer = caller.recv(100)
         assert answer[:5] == bytes.fromhex("940101c092") and answer[5] == 0xC3
+        # SIGHUP ended the program where nothing handled it; a file half written must not either
+        path.write_text('{"name":')
+        process.send_signal(signal.SIGHUP)
+        assert process.stderr is not None
+        while b"reload: the configuration in service stands" not in (line := process.stderr.readline()):
+            assert line, "it has ended"
         process.send_signal(signal.SIGTERM)
         caller.close()
         assert process.wait(30) == 0
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -270,6 +270,51 @@
         catalog send answer 204
         catalog expect closed
         catalog expect PUT /catalog/register/n3 passing""",
+    # New configurations
+    "after a reload runs and numbers go on over the new link, calls go to the new vault": """
+        c1 send 1 book-visit key=K body=a
+        runtime expect start * book-visit a as X
+        runtime send wants $X q
+        vault expect ask $X q
+        node send reload 2
+        runtime expect closed
+        runtime2 expect sync 1
+        vault send $X yes late       # a call that was out ends on its old connection
+        runtime2 expect give $X late
+        c1 send 2 book-visit key=L body=b
+        runtime2 expect start * book-visit b as Y
+        runtime2 send number 1
+        runtime2 send wants $Y q
+        vault2 expect ask $Y q
+        vault expect closed
+        runtime2 send end $X ok r
+        c1 expect 1 ok r
+        catalog2 expect PUT /catalog/register/n3 passing
+        catalog expect PUT
+        catalog expect closed""",
+    "a second reload may lead back": """
+        c1 send 1 slot-search
+        runtime expect start * as X
+        runtime send wants $X q
+        vault expect ask $X q
+        node send reload 2
+        runtime2 expect sync 1
+        node send reload 1
+        runtime2 expect closed
+        runtime expect closed
+        runtime expect sync 1
+        vault send $X yes a
+        runtime expect give $X a
+        runtime send end $X ok r
+        c1 expect 1 ok r
+        node expect count reload.done 2""",
+    "an invalid configuration leaves the old one in service": """
+        node send reload 2 runtime=nowhere
+        node expect count reload.refused 1
+        c1 send 1 slot-search
+        runtime expect start * as X
+        runtime send end $X ok r
+        c1 expect 1 ok r""",
     # Leaving
     "a drain answers what is read, says lastCall and ends": """
         c1 send 1 slot-search
