Bound what callers can spend, and compare the body that comes with a known key

Checked: the served ones carry the key of a kept request with another body (KeyTable.original looked at the key alone); ids that the runtime does not know are nacked and were refused, so they are ruled out. limits.sockets was read and used nowhere; silent connections were kept for 60 s; a bad request cost a log line each time. Changed: a digest of the body stands with the key; the front holds sockets less a reserve, closes what is silent or half asked within 2 s, what was used once sooner when many are open, and makes room at the limit; 8 bad requests end the reading of a connection; ids and doors are checked; backlogs share a budget; MessagePack is read incrementally, not from the start of a value at each read; frequent warnings are summed up by interval.

--- a/reelusher/backends/runtime.py
+++ b/reelusher/backends/runtime.py
@@ -307,8 +307,7 @@
 
     def _on_nack(self, message: dict[str, Any]) -> None:
         call, word = str(message.get("call", "")), message.get("how")
-        self._counters.add("runtime.nack")
-        logger.warning("runtime: the command {} for {} was not carried out", word, call)
+        self._counters.warn("runtime.nack", "runtime: the command {} for {} was not carried out", word, call)
         self._proved(call)
         if word == "start":  # nothing was started, and nothing will be
             self._post(RunOver(call, io.Outcome.MOOT))
--- a/reelusher/backends/vault.py
+++ b/reelusher/backends/vault.py
@@ -143,8 +143,7 @@
             self._line = Line(address, connect(address, CONNECT_S))
         except OSError as error:
             self._line = None
-            self._counters.add("vault.unreachable")
-            logger.warning("vault: no connection: {}", error)
+            self._counters.warn("vault.unreachable", "vault: no connection: {}", error)
             return None
         line = self._line
         self._lines.add(line)
@@ -171,8 +170,7 @@
                 if line is not self._line and not line.open:
                     break
         except lines.Malformed as error:
-            self._counters.add("vault.malformed")
-            logger.warning("vault: connection closed for what it sent: {}", error)
+            self._counters.warn("vault.malformed", "vault: connection closed for what it sent: {}", error)
         except OSError as error:
             logger.debug("vault: {}", error)
         with line.lock:
@@ -181,7 +179,7 @@
         for call, ticket in cut.items():  # they may have run, so none is sent again
             self._post(CallOver(call, ticket, io.Outcome.CUT_OFF))
         if cut:
-            logger.warning("vault: connection broke under {} calls", len(cut))
+            self._counters.warn("vault.broken", "vault: connection broke under {} calls", len(cut))
         self._lines.discard(line)
         line.outbox.release()
 
--- a/reelusher/config/load.py
+++ b/reelusher/config/load.py
@@ -19,6 +19,7 @@
     seed: int
     stop_ms: int
     memory_mb: float
+    sockets: int  # descriptors that the process may hold
     settings: io.Settings
     gauges: list[str]
     class_names: list[str]
@@ -27,13 +28,14 @@
 def merge(told: platform.Platform | None, own: operator.Operator | None) -> Config:
     """Let the platform's word stand where both say something."""
     if told is not None:
-        return Config(told, own, told.name, told.seed, told.stop_ms, told.limits.memory_mb, told.settings,
+        return Config(told, own, told.name, told.seed, told.stop_ms, told.limits.memory_mb,
+                      told.limits.sockets, told.settings,
                       told.gauges, told.class_names)
     if own is None:
         raise ConfigError("PROXY_CONFIG", "not set, and neither is REELUSHER_OPERATOR: one of them is needed")
     if own.settings is None:
         raise ConfigError("classes", "at least one is needed where no platform tells them")
-    return Config(None, own, own.name, own.seed, own.stop_ms, own.memory_mb, own.settings,
+    return Config(None, own, own.name, own.seed, own.stop_ms, own.memory_mb, own.sockets, own.settings,
                   operator.GAUGES, list(own.class_names))
 
 
--- a/reelusher/config/operator.py
+++ b/reelusher/config/operator.py
@@ -108,6 +108,7 @@
     seed: int
     stop_ms: int
     memory_mb: float
+    sockets: int
     ajp: Ajp | None
     admin: Admin | None
     workers: tuple[Worker, ...]
@@ -234,7 +235,7 @@
     table = Table(value)
     table.only("node", "ajp", "admin", "classes", "capacity", "workers", "balancers", "tenants")
     node = table.table("node")
-    node.only("name", "seed", "stop_ms", "memory_mb")
+    node.only("name", "seed", "stop_ms", "memory_mb", "sockets")
     settings, own_names = _read_settings(table)
     names = class_names or own_names
     if not names:
@@ -252,6 +253,7 @@
     return Operator(
         name=node.text("name", "reelusher"), seed=seed_of(node.text("seed", "1"), "node.seed"),
         stop_ms=node.whole("stop_ms", 10_000, least=100), memory_mb=node.number("memory_mb", 192.0, 16),
+        sockets=node.whole("sockets", 1024, 64, 1 << 20),
         ajp=_read_ajp(table.table("ajp")) if "ajp" in table else None,
         admin=_read_admin(table.table("admin")) if "admin" in table else None,
         workers=workers, balancers=balancers, tenants=tenants, settings=None if class_names else settings,
--- a/reelusher/core/counters.py
+++ b/reelusher/core/counters.py
@@ -1,15 +1,30 @@
 """Counters of the node, and the one way to state what must hold."""
 
 import threading
+import time
 from collections import Counter
+from dataclasses import dataclass
 
 from loguru import logger
 
 
+QUIET_S = 10.0  # a warning is logged once, then summed up for so long
+
+
+@dataclass(slots=True)
+class Often:
+    """A warning that may come often."""
+
+    since: float  # when a line was last logged
+    left_out: int = 0
+    last: str = ""
+
+
 class Counters:
     """Named counts that any thread may add to."""
 
     def __init__(self) -> None:
+        self._often: dict[str, Often] = {}
         self._lock = threading.Lock()
         self._counts: Counter[str] = Counter()
 
@@ -23,6 +38,34 @@
         with self._lock:
             return dict(sorted(self._counts.items()))
 
+    def warn(self, name: str, line: str, *values: object) -> None:
+        """Count, and log the first of its kind. What follows within the interval is summed up.
+
+        A line for each message would let whoever sends bad ones spend the node's part of the core.
+        """
+        now = time.monotonic()
+        with self._lock:
+            self._counts[name] += 1
+            known = self._often.get(line)
+            if known is not None and now - known.since < QUIET_S:
+                known.left_out += 1
+                known.last = str(values[-1])[:200] if values else ""
+                return
+            self._often[line] = Often(now)
+        logger.warning(line, *values)
+
+    def sum_up(self, now: float | None = None) -> None:
+        """Log how often each warning came that was left out, once its interval is over."""
+        now = time.monotonic() if now is None else now
+        with self._lock:
+            over = [(line, often) for line, often in self._often.items() if now - often.since >= QUIET_S]
+            for line, _ in over:
+                del self._often[line]
+        for line, often in over:
+            if often.left_out:
+                logger.warning("{} more in {:.0f} s like «{}», the last: {}", often.left_out,
+                               now - often.since, line, often.last)
+
     def must(self, holds: bool, what: str) -> bool:
         """State what must hold: asserted in debug builds, counted and logged in release builds."""
         if not holds:
--- a/reelusher/core/keys.py
+++ b/reelusher/core/keys.py
@@ -15,6 +15,7 @@
     key: Key
     holder: int
     until_us: int
+    digest: bytes = b""  # of the body that all tries carry
     over: bool = False  # the holder's run has ended, or it never ran and never will
     result: Result | None = None  # of a run that went well
     waiting: list[int] = field(default_factory=list)  # joined tries
@@ -45,17 +46,22 @@
         entry = self._by_key.get(key)
         return entry.holder if entry and door_us <= entry.until_us else 0
 
+    def other_body(self, key: Key, door_us: int, digest: bytes) -> bool:
+        """Tell whether a try arriving then names the key of a request that has another body."""
+        entry = self._by_key.get(key)
+        return entry is not None and door_us <= entry.until_us and entry.digest != digest
+
     def of(self, holder: int) -> Entry | None:
         """Return the entry that a try holds."""
         return self._by_holder.get(holder)
 
-    def keep(self, key: Key, holder: int, until_us: int) -> None:
+    def keep(self, key: Key, holder: int, until_us: int, digest: bytes = b"") -> None:
         """Record a try, or renew its entry; a newer holder takes the key over."""
         entry = self._by_holder.get(holder)
         if entry:
             entry.until_us = until_us
             return
-        self._by_key[key] = self._by_holder[holder] = Entry(key, holder, until_us)
+        self._by_key[key] = self._by_holder[holder] = Entry(key, holder, until_us, digest)
 
     def store(self, entry: Entry, result: Result | None) -> int:
         """Keep what the holder's run came to; return how many older results had to go to make room.
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -6,6 +6,7 @@
 from concurrent.futures import Future
 from dataclasses import dataclass
 from functools import partial
+from hashlib import blake2b
 from typing import Any
 
 from loguru import logger
@@ -39,6 +40,11 @@
     draining: bool = False
 
 
+def digest_of(request: Request) -> bytes:
+    """Return what tells the body of one keyed request from another's; the class is part of the key."""
+    return blake2b(request.body, digest_size=16).digest()
+
+
 class Core:
     """Queue, clock, timers, attempts and keys round one controller."""
 
@@ -170,8 +176,8 @@
         request = message.request
         self.counters.add("requests.read")
         if self.attempts.named(request.call):  # two runs under one name could not be told apart
-            self.counters.add("requests.name_taken")
-            logger.warning("request refused: its id {} is in hand already", request.call)
+            self.counters.warn("requests.name_taken", "request refused: its id {} is in hand already",
+                               request.call)
             request.reply(self._answer_of(Verdict.FAILED))
             return
         kind = self.settings.classes[request.kind]
@@ -181,6 +187,12 @@
             if key in self._new_keys:  # tries read together know of each other, so the first is settled first
                 self._flush()
             self._new_keys.add(key)
+            # whoever knows a key but not the body that goes with it is not served what was kept
+            if self.keys.other_body(key, request.door_us, digest_of(request)):
+                self.counters.warn("requests.key_taken",
+                                   "request refused: its key came with another body: {}", request.call)
+                request.reply(self._answer_of(Verdict.FAILED))
+                return
             original = self.keys.original(key, request.door_us)
         due = max(self.now, request.door_us + kind.deadline_us)
         attempt = self.attempts.add(request, self.runner_of(request.tenant), due)
@@ -376,7 +388,8 @@
     def _do_keep(self, action: io.Keep) -> None:
         attempt = self.attempts.get(action.id)
         if attempt and attempt.request.key:
-            self.keys.keep(self._key(attempt.request), action.id, self.now + action.span_us)
+            self.keys.keep(self._key(attempt.request), action.id, self.now + action.span_us,
+                           digest_of(attempt.request))
 
     def _do_forget(self, action: io.Forget) -> None:
         entry = self.keys.of(action.id)
@@ -470,12 +483,13 @@
     def _guard(self, attempt: Attempt) -> None:
         if attempt.answered or attempt.id not in self.attempts:
             return
-        self.counters.add("answers.by_guard")
-        logger.warning("request {} was due with no answer: answered as failed", attempt.request.call)
+        self.counters.warn("answers.by_guard", "request {} was due with no answer: answered as failed",
+                           attempt.request.call)
         self._give_answer(attempt, Verdict.FAILED)
         self._events.append(io.Gone(attempt.id))
         self._settle(attempt)
 
     def _sweep_keys(self) -> None:
         self.keys.sweep(self.now, self.attempts.__contains__)
+        self.counters.sum_up()
         self._timers.at(self.now + SWEEP_US, self._sweep_keys)
--- a/reelusher/fronts/ajp.py
+++ b/reelusher/fronts/ajp.py
@@ -117,8 +117,8 @@
         try:
             self._carry(sock)
         except ajp13.Malformed as error:
-            self._core.counters.add("ajp.malformed")
-            logger.warning("ajp: {}:{} closed for a malformed packet: {}", peer[0], peer[1], error)
+            self._core.counters.warn("ajp.malformed", "ajp: {}:{} closed for a malformed packet: {}",
+                                     *peer, error)
         except OSError as error:
             logger.debug("ajp: {}", error)
         finally:
--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -1,5 +1,6 @@
 """The platform's front: MessagePack-RPC over TCP, translated to the core's requests and answers."""
 
+import contextlib
 import hashlib
 import math
 import socket
@@ -7,19 +8,28 @@
 import time
 from typing import Any
 
-from loguru import logger
-
 from reelusher import interface as io
 from reelusher.core.model import Answer, Arrived, Left, Request, Verdict
 from reelusher.core.owner import Core
-from reelusher.net import Address, Listener, Outbox, spawn
+from reelusher.net import Address, Budget, Listener, Outbox, spawn
 from reelusher.wire import msgpack
 
 CALL, ANSWER, NOTICE = 0, 1, 2  # of MessagePack-RPC
 MOST_BODY = 2048
-MOST_OPEN = 256  # open requests on one connection; the platform keeps to 32
-BACKLOG_BYTES = 1 << 20  # answers that a slow caller may leave unread
+MOST_OPEN = 32 + 8  # open requests on one connection: the protocol's, and some whose answers cross new ones
+MOST_FRAME = 1 << 14  # bytes of one request; its body and fields take a third of that
+MOST_BAD = 8  # requests answered with an error, after which a connection is read no further
+DOOR_AHEAD_US = 2_000_000  # a door later than the clock by more than that is wrong
+DOOR_BEHIND_US = 10_000_000  # one older by more than that, beyond the longest deadline, is wrong
+BACKLOG_BYTES = 1 << 18  # answers that a slow caller may leave unread
 SWEEP_S = 0.1  # between looks at idle connections
+SILENT_S = 1.5  # a connection that has sent nothing whole is told to go after this
+SILENT_LEAVE_S = 0.5  # and is closed after this
+FRAME_S = 2.0  # a request that has begun must be whole within this
+SPARE = 16  # connections past the most that may stand while those closed for them are let go
+FRESH_S = 0.1  # a connection younger than this is not closed to make room
+ONCE_PART, ONCE_IDLE_S = 0.2, 4.0  # above this part of the most, one used once is closed after this idle
+CROWDED = ((0.5, 4.0), (0.75, 1.0))  # above a part of the most: all that are idle for so many seconds
 LEAVE_S = 2.0  # a caller told `lastCall` closes within this, or is closed
 MOST_HELD_KB = 2000.0
 
@@ -28,15 +38,22 @@
     """A request that gets an error answer and never reaches the core; the text names what is wrong."""
 
 
+class Enough(Exception):
+    """A connection has sent so many bad requests that nothing more is read from it."""
+
+
 class Connection:
     """One caller's connection. Its reader is the only thread that reads; answers come from the owner."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, budget: Budget) -> None:
         self.sock = sock
-        self.outbox = Outbox(sock, BACKLOG_BYTES)
+        self.outbox = Outbox(sock, BACKLOG_BYTES, budget)
         self.lock = threading.Lock()
         self.open: dict[int, str] = {}  # message ids that are owed an answer, and their core names
-        self.used = time.monotonic()
+        self.used = self.began = time.monotonic()
+        self.heard = 0  # whole messages read
+        self.bad = 0  # of them, answered with an error by the front
+        self.partial_since = 0.0  # when the message that is not whole yet began; 0: there is none
         self.told_last = 0.0  # when `lastCall` was sent; 0: not yet
         self.ended = False  # nothing more comes in
 
@@ -50,6 +67,12 @@
         if done:
             self.outbox.close()
 
+    def close_idle(self) -> None:
+        """End the connection unless a request is open on it; one that crosses this is not taken."""
+        with self.lock:
+            if not self.open:
+                self.outbox.close()
+
     def last_call(self, now: float) -> None:
         """Tell the caller to send nothing more here."""
         with self.lock:
@@ -58,6 +81,11 @@
             self.told_last = now
         self.outbox.send(msgpack.pack([NOTICE, "lastCall", []]))
 
+    def stop_reading(self) -> None:
+        """Read nothing more; what is open is still answered, then the connection ends."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RD)
+
     def idle_for(self, now: float) -> float:
         """Return for how long nothing has been open here."""
         with self.lock:
@@ -87,16 +115,19 @@
 
 
 class PlatformFront:
-    """Listens for callers."""
+    """Listens for callers. It holds `most` connections, and backlogs of so many bytes in total."""
 
-    def __init__(self, core: Core, address: Address, tenant: str) -> None:
+    def __init__(self, core: Core, address: Address, tenant: str, most: int, backlog_bytes: int) -> None:
+        self._most = most
+        self._budget = Budget(backlog_bytes)
+        self._door_behind_us = DOOR_BEHIND_US + max(kind.deadline_us for kind in core.settings.classes)
         self._core = core
         self._tenant = tenant
         self._kinds = {name: number for number, name in enumerate(core.class_names)}
-        self._connections: set[Connection] = set()
+        self._connections: dict[socket.socket, Connection] = {}
         self._lock = threading.Lock()
         self._closed = False
-        self._listener = Listener("platform", address, core.counters, self._serve)
+        self._listener = Listener("platform", address, core.counters, self._serve, self._admit)
         self.address = self._listener.address
 
     def start(self) -> None:
@@ -127,27 +158,56 @@
 
     def _all(self) -> list[Connection]:
         with self._lock:
-            return list(self._connections)
+            return list(self._connections.values())
+
+    def _admit(self, sock: socket.socket) -> bool:
+        """Take a new connection, and make room for it where the table is full."""
+        connections, now = self._all(), time.monotonic()
+        if len(connections) >= self._most:
+            # who has never asked anything goes first, then who has been idle for longest
+            going = [(connection.heard > 0, connection.used, number) for number, connection
+                     in enumerate(connections) if not connection.outbox.closed
+                     and connection.idle_for(now) > FRESH_S and not connection.partial_since]
+            if not going or len(connections) >= self._most + SPARE:
+                return False
+            self._core.counters.warn("platform.closed_for_room",
+                                     "platform: {} connections are open: idle ones are closed for new ones",
+                                     len(connections))
+            connection = connections[min(going)[2]]
+            connection.last_call(now)
+            connection.close_idle()
+        with self._lock:
+            self._connections[sock] = Connection(sock, self._budget)
+        return True
 
     def _serve(self, sock: socket.socket, peer: Address) -> None:
-        connection, decoder = Connection(sock), msgpack.Decoder()
-        with self._lock:
-            self._connections.add(connection)
+        connection, decoder = self._connections[sock], msgpack.Decoder(MOST_FRAME)
         try:
-            while data := sock.recv(1 << 16):
+            while data := sock.recv(1 << 14):
                 for message in decoder.feed(data):
+                    connection.partial_since = 0.0
                     self._take(connection, message)
+                if not decoder.partial:
+                    connection.partial_since = 0.0
+                elif not connection.partial_since:
+                    connection.partial_since = time.monotonic()
+            self._end(connection)
+        except Enough:
+            self._core.counters.warn("platform.closed_bad",
+                                     "platform: {}:{} is read no further after {} bad requests", *peer,
+                                     connection.bad)
+            connection.stop_reading()
             self._end(connection)
         except msgpack.Malformed as error:
-            self._core.counters.add("platform.malformed")
-            logger.warning("platform: {}:{} closed for a malformed frame: {}", peer[0], peer[1], error)
+            self._core.counters.warn("platform.malformed", "platform: {}:{} closed for a malformed frame: {}",
+                                     *peer, error)
             self._lose(connection)
         except OSError:
             self._lose(connection)
         finally:
             connection.outbox.release()
             with self._lock:
-                self._connections.discard(connection)
+                self._connections.pop(sock, None)
 
     def _end(self, connection: Connection) -> None:
         """The caller sends nothing more; what is open is still answered."""
@@ -166,11 +226,13 @@
     def _take(self, connection: Connection, message: Any) -> None:
         """Take one message of a caller."""
         match message:
-            case [0, int(number), str(method), list(params)] if number not in connection.open:
+            case [0, int(number), str(method), list(params)] if (
+                    not isinstance(number, bool) and 0 <= number < 1 << 32 and number not in connection.open):
                 pass
             case _:
                 raise msgpack.Malformed("not a request of MessagePack-RPC, or its id is open already")
         told = self._core.told
+        connection.heard += 1
         with connection.lock:
             connection.used = time.monotonic()
         if method == "health":
@@ -180,11 +242,15 @@
         try:
             request = self._request(connection, number, method, params)
         except BadRequest as error:
-            self._core.counters.add("requests.bad")
-            logger.warning("platform: request answered with an error: {}", error)
+            self._core.counters.warn("requests.bad", "platform: request answered with an error: {}", error)
             connection.answer(number, ["Bad", {**self._fields(told.feedback), "why": str(error)}], None)
+            connection.bad += 1
+            if connection.bad >= MOST_BAD:
+                raise Enough from None
             return
         with connection.lock:
+            if connection.outbox.closed:  # nothing has run, and nothing could be answered
+                return
             connection.open[number] = request.call
         self._core.post(Arrived(request))
 
@@ -210,7 +276,10 @@
         if self._core.settings.classes[kind].effect is io.Effect.KEYED and not key:
             raise BadRequest("unique is missing")
         number_of(fields, "standing", 0, 1, 0)  # the module ranks by class alone; a bad one is still an error
-        door_ms = number_of(fields, "door", 0, 1e15, self._core.clock.now() / 1000)
+        now_us = self._core.clock.now()
+        # a door far from the clock would set timers and keys that outlive everything else
+        door_ms = number_of(fields, "door", (now_us - self._door_behind_us) / 1000,
+                            (now_us + DOOR_AHEAD_US) / 1000, now_us / 1000)
         return Request(
             call=call, kind=kind, body=body, door_us=int(door_ms * 1000),
             reply=lambda answer: self._reply(connection, number, answer), tenant=self._tenant,
@@ -237,18 +306,37 @@
             connection.answer(number, ["Error", fields], None)
 
     def _sweep(self) -> None:
-        """Close idle connections: `lastCall` first, and never one with open requests."""
+        """Look after connections that are silent, half asked or idle."""
         while not self._closed:
             time.sleep(SWEEP_S)
-            now, told = time.monotonic(), self._core.told
-            usual = self._core.settings.idle_us
-            # callers close idle connections themselves; only an earlier wish, or a dead peer, is for us
-            limit = told.idle_us if 0 < told.idle_us < usual else 2 * usual
-            for connection in self._all():
-                idle = connection.idle_for(now)
-                if connection.told_last:
-                    if idle and now - connection.told_last > LEAVE_S:
-                        connection.outbox.close()
-                elif limit and idle * 1e6 > limit:
-                    self._core.counters.add("platform.closed_idle")
-                    connection.last_call(now)
+            now, connections = time.monotonic(), self._all()
+            once_s, idle_s = self._idle_limits(len(connections))
+            for connection in connections:
+                self._look_at(connection, now, once_s if connection.heard == 1 else idle_s)
+
+    def _idle_limits(self, count: int) -> tuple[float, float]:
+        """Return how many seconds a connection may be idle that was used once, and any other."""
+        usual, told = self._core.settings.idle_us, self._core.told.idle_us
+        # callers close idle connections themselves; only an earlier wish, or a dead peer, is for us
+        idle_s = (told if 0 < told < usual else 2 * usual) / 1e6 or math.inf
+        part = count / self._most
+        idle_s = min([idle_s, *(limit for least, limit in CROWDED if part > least)])
+        return min(idle_s, ONCE_IDLE_S) if part > ONCE_PART else idle_s, idle_s
+
+    def _look_at(self, connection: Connection, now: float, limit_s: float) -> None:
+        """Close one connection if it is time: `lastCall` first, and never with open requests."""
+        idle = connection.idle_for(now)
+        begun = connection.partial_since
+        if begun and now - begun > FRAME_S:
+            self._core.counters.add("platform.closed_partial")
+            connection.partial_since = 0.0
+            connection.stop_reading()
+        elif connection.told_last:
+            if idle and now - connection.told_last > (LEAVE_S if connection.heard else SILENT_LEAVE_S):
+                connection.close_idle()
+        elif not connection.heard and idle > SILENT_S:
+            self._core.counters.add("platform.closed_silent")
+            connection.last_call(now)
+        elif idle > limit_s:
+            self._core.counters.add("platform.closed_idle")
+            connection.last_call(now)
--- a/reelusher/net.py
+++ b/reelusher/net.py
@@ -38,16 +38,39 @@
     return sock
 
 
+class Budget:
+    """Bytes that the backlogs of many outboxes may take together."""
+
+    def __init__(self, most: int) -> None:
+        self._left = most
+        self._lock = threading.Lock()
+
+    def take(self, size: int) -> bool:
+        """Book bytes; False where that many are not left."""
+        with self._lock:
+            if size > self._left:
+                return False
+            self._left -= size
+            return True
+
+    def give(self, size: int) -> None:
+        """Return bytes that were booked."""
+        with self._lock:
+            self._left += size
+
+
 class Outbox:
     """What is on its way out of one socket.
 
     `send` never blocks: what the socket does not take at once waits in a bounded backlog that a thread of
-    its own works off. A reader so slow that the backlog fills loses its connection and harms nobody else.
+    its own works off. A reader so slow that the backlog fills, its own or the budget that it shares with
+    others, loses its connection and harms nobody else.
     """
 
-    def __init__(self, sock: socket.socket, limit: int) -> None:
+    def __init__(self, sock: socket.socket, limit: int, budget: Budget | None = None) -> None:
         self._sock = sock
         self._limit = limit
+        self._budget = budget or Budget(limit)
         self._waiting: deque[bytes] = deque()
         self._size = 0
         self._changed = threading.Condition()
@@ -69,11 +92,11 @@
                     return False
                 if not data:
                     return True
-            self._waiting.append(data)
-            self._size += len(data)
-            if self._size > self._limit:
+            if self._size + len(data) > self._limit or not self._budget.take(len(data)):
                 self._close()
                 return False
+            self._waiting.append(data)
+            self._size += len(data)
             if not self._writer:
                 self._writer = True
                 spawn("writer", self._write)
@@ -92,7 +115,7 @@
             except OSError:
                 self.close()
             with self._changed:
-                self._size -= len(data)
+                self._returned(len(data))
 
     def flush(self, until: float) -> bool:
         """Wait until all is sent, or until this time of the monotonic clock."""
@@ -109,10 +132,15 @@
     def _close(self) -> None:
         if not self.closed:
             self.closed = True
+            self._returned(sum(map(len, self._waiting)))
             self._waiting.clear()
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
+    def _returned(self, size: int) -> None:
+        self._size -= size
+        self._budget.give(size)
+
     def release(self) -> None:
         """Close the socket once no writer uses it; called by the reader, last."""
         self.close()
@@ -126,8 +154,11 @@
     """Accepts connections on one address, each with a thread of its own."""
 
     def __init__(self, name: str, address: Address, counters: Counters,
-                 serve: Callable[[socket.socket, Address], None]) -> None:
+                 serve: Callable[[socket.socket, Address], None],
+                 admit: Callable[[socket.socket], bool] = lambda sock: True) -> None:
+        """`admit` is asked by the accepting thread; what it turns away is closed before a thread is spent."""
         self._name = name
+        self._admit = admit
         self._counters = counters
         self._serve = serve
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -164,9 +195,14 @@
                     break
                 self._counters.add(f"{self._name}.accept_failed")
                 if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    logger.warning("{}: out of descriptors or memory, accepting rests", self._name)
+                    self._counters.warn(f"{self._name}.accept_rested",
+                                        "{}: out of descriptors or memory, accepting rests", self._name)
                     time.sleep(FULL_WAIT_S)  # callers wait in the backlog meanwhile
                 continue
+            if not self._admit(sock):
+                self._counters.add(f"{self._name}.turned_away")
+                sock.close()
+                continue
             self._counters.add(f"{self._name}.accepted")
             try:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -34,6 +34,9 @@
 SWITCH_S = 0.001  # a thread that waits for the interpreter gets it within this
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 RESULTS_PART = 0.25  # part of the node's memory that kept results may take
+BACKLOGS_PART = 0.1  # part of it that answers may take which slow callers have not read yet
+RESERVED_SOCKETS = 48  # descriptors for listeners, files, runtime, vault, catalog and the administration API
+LEAST_CONNECTIONS = 16  # that fronts get however few descriptors there are
 
 
 class Front(Protocol):
@@ -81,7 +84,9 @@
         self.catalog = Catalog(told.directory, told.name, lambda: self.core.told.healthy,
                                self.counters) if told and told.directory else None
         if told:
-            self.fronts["platform"] = PlatformFront(self.core, told.listen, PLATFORM_TENANT)
+            self.fronts["platform"] = PlatformFront(
+                self.core, told.listen, PLATFORM_TENANT, self._most_connections() - self._most_ajp(),
+                int(config.memory_mb * BACKLOGS_PART * (1 << 20)))
         self.admin: AdminApi | None = None
         if own:
             self._set_up(own)
@@ -95,11 +100,25 @@
         tenants = tenancy.Tenants(own.tenants if found is None else found, own.class_names, self._pool.runner,
                                   self.core.runners, backends)
         if own.ajp:
-            self.fronts["ajp"] = AjpFront(self.core, own.ajp, tenants)
+            self.fronts["ajp"] = AjpFront(
+                self.core, replace(own.ajp, max_connections=self._most_ajp()), tenants)
         if own.admin:
             self.admin = AdminApi(own.admin, Parts(self.core, tenants, self._pool, self.status,
                                                    self.ask_to_leave))
 
+    def _most_connections(self) -> int:
+        """Return how many descriptors the fronts may spend; the rest is kept for all else."""
+        own = self.config.operator
+        kept = RESERVED_SOCKETS + sum(worker.connections for worker in (own.workers if own else ()))
+        return max(self.config.sockets - kept, LEAST_CONNECTIONS)
+
+    def _most_ajp(self) -> int:
+        """Return how many of them the AJP front may spend."""
+        own, most = self.config.operator, self._most_connections()
+        if own is None or own.ajp is None:
+            return 0
+        return min(own.ajp.max_connections, most // 2 if self.config.platform else most)
+
     def _post(self, message: Message) -> None:
         self.core.post(message)
 
--- a/reelusher/wire/msgpack.py
+++ b/reelusher/wire/msgpack.py
@@ -30,26 +30,75 @@
 _CONSTANTS = {0xC0: None, 0xC2: False, 0xC3: True}
 
 
+class _Open:
+    """An array or a map whose items are still being read."""
+
+    __slots__ = ("left", "items", "is_map")
+
+    def __init__(self, left: int, is_map: bool) -> None:
+        self.left = 2 * left if is_map else left  # values still to come
+        self.items: list[Any] = []
+        self.is_map = is_map
+
+    def closed(self) -> Any:
+        """Return it as a value."""
+        return dict(zip(self.items[::2], self.items[1::2], strict=True)) if self.is_map else self.items
+
+
 class Decoder:
-    """Splits a stream into values."""
+    """Splits a stream into values. What has been read of a value is not read again when more bytes come."""
 
-    def __init__(self) -> None:
+    def __init__(self, most_frame: int = MOST_FRAME) -> None:
+        self._most_frame = most_frame
         self._buffer = bytearray()
         self._at = 0
+        self._frame = 0  # bytes read of the value that is open
+        self._open: list[_Open] = []
+
+    @property
+    def partial(self) -> bool:
+        """Tell whether a value has begun and is not whole."""
+        return bool(self._buffer or self._open)
 
     def feed(self, data: bytes) -> Iterator[Any]:
         """Take more bytes and yield the values that are whole by now."""
         self._buffer += data
-        while self._buffer:
-            self._at = 0
-            try:
-                value = self._value(0)
-            except _Short:
-                if len(self._buffer) > MOST_FRAME:
-                    raise Malformed(f"a value of more than {MOST_FRAME} bytes") from None
-                return
+        self._at = 0
+        try:
+            while self._at < len(self._buffer):
+                begun = self._at
+                try:
+                    value = self._item()
+                except _Short:
+                    self._at = begun
+                    break
+                finally:
+                    self._frame += self._at - begun
+                if self._frame > self._most_frame:
+                    raise Malformed(f"a value of more than {self._most_frame} bytes")
+                if not isinstance(value, _Open):
+                    value = self._placed(value)
+                if not isinstance(value, _Open):
+                    self._frame = 0
+                    yield value
+        finally:
             del self._buffer[:self._at]
-            yield value
+            self._at = 0
+        if self._frame + len(self._buffer) > self._most_frame:
+            raise Malformed(f"a value of more than {self._most_frame} bytes")
+
+    def _placed(self, value: Any) -> Any:
+        """Put a value into what is open; return the outermost once it is whole, else what is still open."""
+        while self._open:
+            top = self._open[-1]
+            if top.is_map and top.left % 2 == 0 and not isinstance(value, (str, int, bytes)):
+                raise Malformed("a map key that is neither a string nor a number")
+            top.items.append(value)
+            top.left -= 1
+            if top.left:
+                return top
+            value = self._open.pop().closed()
+        return value
 
     def _take(self, size: int) -> bytes:
         end = self._at + size
@@ -67,31 +116,29 @@
         self._at += form.size
         return number
 
-    def _value(self, depth: int) -> Any:
-        if depth > MOST_DEPTH:
-            raise Malformed(f"nested more than {MOST_DEPTH} deep")
-        code = self._take(1)[0]
+    def _item(self) -> Any:
+        """Read one value, or the header of an array or a map that has items: that is then open."""
+        code = self._buffer[self._at]
+        self._at += 1
         if code < 0x80:
             return code
         if code >= 0xE0:
             return code - 0x100
-        if code in _CONSTANTS:
-            return _CONSTANTS[code]
-        if code in _FIXED:
-            return self._number(code)
         if 0xA0 <= code < 0xC0:
             return self._text(code & 0x1F)
         if code < 0x90:
-            return self._map(code & 0x0F, depth)
+            return self._opened(code & 0x0F, is_map=True)
         if code < 0xA0:
-            return self._array(code & 0x0F, depth)
+            return self._opened(code & 0x0F, is_map=False)
+        if code in _CONSTANTS:
+            return _CONSTANTS[code]
+        if code in _FIXED:
+            return self._number(code)
         if code not in _LENGTHS:
             raise Malformed(f"type byte {code:#04x} is not supported")
         length = self._number(code)
-        if code >= 0xDE:
-            return self._map(length, depth)
         if code >= 0xDC:
-            return self._array(length, depth)
+            return self._opened(length, is_map=code >= 0xDE)
         return self._text(length) if code >= 0xD9 else self._take(self._checked(length, MOST_BYTES))
 
     @staticmethod
@@ -106,17 +153,14 @@
         except UnicodeDecodeError:
             raise Malformed("a string that is not UTF-8") from None
 
-    def _array(self, length: int, depth: int) -> list[Any]:
-        return [self._value(depth + 1) for _ in range(self._checked(length, MOST_ITEMS))]
-
-    def _map(self, length: int, depth: int) -> dict[Any, Any]:
-        found = {}
-        for _ in range(self._checked(length, MOST_ITEMS)):
-            key = self._value(depth + 1)
-            if not isinstance(key, (str, int, bytes)):
-                raise Malformed("a map key that is neither a string nor a number")
-            found[key] = self._value(depth + 1)
-        return found
+    def _opened(self, length: int, is_map: bool) -> Any:
+        if len(self._open) >= MOST_DEPTH:
+            raise Malformed(f"nested more than {MOST_DEPTH} deep")
+        opened = _Open(self._checked(length, MOST_ITEMS), is_map)
+        if not length:
+            return opened.closed()
+        self._open.append(opened)
+        return opened
 
 
 def _sized(length: int, small: int | None, small_most: int, codes: tuple[int | None, int, int]) -> bytes:
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -138,7 +138,7 @@
         plain, given = options(words)
         sock = self.dial("platform", msgpack.Decoder(), self.note)
         if plain[0] == "raw":
-            sock.sendall(bytes.fromhex(plain[1]))
+            sock.sendall(bytes.fromhex("".join(plain[1:])))
             return
         fields = {"txn": given.pop("txn", f"{next(self.world['count']):016x}"), "lb": "1", "ram": "10",
                   "door": str(time.time_ns() // 1_000_000 - int(given.pop("age", 0))), "cpu": "5"}
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -104,7 +104,9 @@
     changes = dict(word.split("=", 1) for step in steps if step[0] == "with" for word in step[1:])
     if changes.pop("busy", ""):
         world["stats"] = [1.0, 40, 0.5, 3]
-    told = parse_platform(platform_config(world, stop_ms=int(changes.pop("stop_ms", 4000))), {})
+    told = parse_platform(platform_config(
+        world, stop_ms=int(changes.pop("stop_ms", 4000)),
+        limits={"sockets": int(changes.pop("sockets", 1024))}), {})
     own = operator_config(world)
     own["ajp"] |= {key: int(value) if value.isdigit() else value for key, value in changes.items()}
     node = Node(merge(told, parse_operator(own, tuple(told.class_names), has_runtime=True)))
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -15,8 +15,10 @@
     """Yield the first argument of each call to a method of some name, where it is a plain string."""
     for node in ast.walk(ast.parse(text)):
         if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute) and node.func.attr in names:
-            match node.args:
-                case [ast.Constant(value=str(first)), *_]:
+            match node.args:  # of `warn`, the first names the counter
+                case [_, ast.Constant(value=str(line)), *_] if node.func.attr == "warn":
+                    yield line
+                case [ast.Constant(value=str(first)), *_] if node.func.attr != "warn":
                     yield first
 
 
@@ -28,7 +30,7 @@
 def test_each_log_line_is_on_the_page_for_the_one_on_call() -> None:
     page = squeezed((ROOT / "docs" / "on-call.md").read_text())
     lines = [line for path in SOURCES
-             for line in calls(path.read_text(), "info", "warning", "error", "exception")
+             for line in calls(path.read_text(), "info", "warning", "warn", "error", "exception")
              if path.parent.name != "importer"]  # its errors are about the command line
     assert len(lines) > 25
     assert [line for line in lines if squeezed(line) not in page] == []
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -112,7 +112,80 @@
         c1 expect 2 Error
         runtime send end aa ok r
         c1 expect 1 ok r""",
+    "message ids that are no numbers or negative close the connection": """
+        c1 send raw 9400c3a66865616c74689180
+        c1 expect closed
+        c2 send raw 9400ffa66865616c74689180
+        c2 expect closed
+        node expect count platform.malformed 2""",
+    "a door far from the clock is an error": """
+        c1 send 1 slot-search age=-3600000
+        c1 expect 1 Bad why=door
+        c1 send 2 book-visit key=K age=3600000
+        c1 expect 2 Bad why=door
+        runtime expect nothing""",
+    "a connection that sends nothing but bad requests is read no further": """
+        c1 send 1 slot-search
+        runtime expect start * as X
+        """ + "".join(f"""
+        c1 send {number} no-such-class
+        c1 expect {number} Bad""" for number in range(2, 10)) + """
+        c1 send 10 slot-search
+        runtime expect nothing
+        runtime send end $X ok r
+        c1 expect 1 ok r
+        c1 expect closed""",
+    "more open requests than the protocol allows are turned away at once": "with busy=1" + "".join(f"""
+        c1 send {number} slot-search""" for number in range(1, 70)) + """
+        node expect count platform.closed_bad 1""",
+    "a connection that says nothing, or half a request, is closed within three seconds": """
+        c1 send raw 94
+        c2 send raw
+        wait 2.6
+        c1 expect lastCall
+        c1 expect closed
+        c2 expect lastCall
+        c2 expect closed""",
+    "half a request closes its connection after what is open there": """
+        c1 send 1 slot-search
+        runtime expect start * as X
+        c1 send raw 94
+        wait 2.6
+        runtime send end $X ok r
+        c1 expect 1 ok r
+        c1 expect closed
+        node expect count platform.closed_partial 1""",
+    "at the limit the connection that is idle for longest makes room, and those in use stay": """
+        with sockets=192             # less what is kept, and half of it for AJP: 40
+        c50 send 1 slot-search
+        runtime expect start * as X
+        """ + "".join(f"""
+        c{number} send 1 health""" for number in range(1, 40)) + """
+        wait 0.3
+        c99 send 1 slot-search
+        runtime expect start * as Y
+        runtime send end $Y ok r
+        c99 expect 1 ok r
+        c1 expect 1 ok True
+        c1 expect lastCall
+        c1 expect closed
+        runtime send end $X ok r
+        c50 expect 1 ok r""",
     # Keys
+    "a known key with another body is an error, and served neither what is kept nor run": """
+        c1 send 1 book-visit key=K body=mine
+        runtime expect start * book-visit mine as X
+        c2 send 1 book-visit key=K body=other
+        c2 expect 1 Error
+        runtime send end $X ok slot-9
+        c1 expect 1 ok slot-9
+        c2 send 2 book-visit key=K body=other
+        c2 expect 2 Error
+        a1 send POST /visits host=plain key=K body=other
+        runtime expect nothing
+        c3 send 1 book-visit key=K body=mine
+        c3 expect 1 ok slot-9
+        node expect count requests.key_taken 3""",
     "a repeat waits for the run and is served its result": """
         c1 send 1 book-visit key=K body=b
         runtime expect start * book-visit b as X
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -48,6 +48,24 @@
             list(decoder.feed(unhex("dc0100") * (decoder._buffer == b"") + unhex("daf000") + b"x" * 0xF000))
 
 
+def test_messagepack_that_drips_in_is_read_once() -> None:
+    """A decoder that began anew with each byte took time in the square of the length."""
+    data, reads = msgpack.pack([[number] * 200 for number in range(200)]), 0
+    found: list[Any] = []
+
+    class Counted(msgpack.Decoder):
+        def _item(self) -> Any:
+            nonlocal reads
+            reads += 1
+            return super()._item()
+
+    decoder = Counted()
+    for at in range(len(data)):
+        found += decoder.feed(data[at:at + 1])
+    assert found == [[[number] * 200 for number in range(200)]] and not decoder.partial
+    assert reads < 2 * len(data)
+
+
 AJP_REQUEST = ("1234006c 02 02 0008 485454502f312e31 00 0005 2f64617973 00 0009 3132372e302e302e31 00 ffff"
                " 0006 636c696e6963 00 0050 00 0002 a00b 0006 636c696e6963 00 0003 782d61 00 0001 31 00"
                " 05 0003 613d31 00 0a 000f 414a505f52454d4f54455f504f5254 00 0004 35303030 00 ff")
