--- a/Makefile
+++ b/Makefile
@@ -12,8 +12,9 @@
 test: lint
 	.venv/bin/python -m pytest -q
 
+# One arena: with one for each few threads, memory that short-lived threads free is not given to others.
 run:
-	exec .venv/bin/python -O -m reelusher
+	exec env MALLOC_ARENA_MAX=1 .venv/bin/python -O -m reelusher
 
 sim:
 	exec .venv/bin/python -m reelusher.benchlink
--- a/reelusher/choice.py
+++ b/reelusher/choice.py
@@ -32,7 +32,7 @@
 SICK, SICK_US = 0.7, 4_000_000  # unread for that part of the shortest aim: health bad, for so long at least
 ROOM_CUT, ROOM_GROWTH = 0.85, 0.2  # the room left each period of such waits; won back for each core without
 IDLE_MOST, IDLE_LEAST_US = 4.0, 500_000  # connections a core above which idle ones go sooner; the soonest
-CALLERS_MOST = 10_000  # callers remembered; past that all are forgotten
+CALLERS_MOST = 1_000  # callers remembered; past that those unheard for longest are forgotten
 REUSED = 0.8  # part of arrivals by callers heard before: above it idle connections are left alone
 SPENT_FADE, SPENT_LEAST = 0.15, 0.1  # weight of G lost each period that G leaves the cores full; its least
 SPENT_BACK = 0.005  # weight that G wins back each period in which the cores are under the target
@@ -155,8 +155,9 @@
         self._set_room()
         if connections is not None and self.settings.idle_us:
             self._set_idle(connections)
-        if len(self.last_heard) > CALLERS_MOST:
-            self.last_heard.clear()
+        if len(self.last_heard) > CALLERS_MOST:  # callers come and go: the longest unheard half is forgotten
+            order = sorted(self.last_heard.items(), key=lambda item: item[1])
+            self.last_heard = dict(order[CALLERS_MOST // 2:])
         self.kept = {key: end for key, end in self.kept.items() if end > self.now}
         self._sweep()
 
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -24,7 +24,8 @@
 
 GAUGES_WAIT_US = 50_000  # a tick waits this long for its gauges, then goes without
 CALL_GRACE_US = 60_000  # a call is given up here when no reply has come this long after its time
-GUARD_US = 40_000  # part of the slack left to the guard that answers what the module has not
+GUARD_SLOT_US = 10_000  # guards act at multiples of this
+GUARD_US = 30_000  # part of the slack left to the guard that answers what the module has not
 STOP_GUARD_US = 150_000  # before the stop: all that is read is answered by then
 SWEEP_US = 1_000_000  # between sweeps of the table of keys
 REARM_US = 100_000  # until the next tick where a fault has lost the module's timer
@@ -70,6 +71,7 @@
         self._inbox: queue.SimpleQueue[Message | None] = queue.SimpleQueue()
         self._events: list[io.Event] = []  # of the batch that is being gathered
         self._new_keys: set[Key] = set()  # keys of requests in that batch
+        self._guards: dict[int, list[int]] = {}  # slots of time, and the attempts to look after then
         self._ticks: dict[str, int] = {}  # cookies of ticks that wait for gauges, and their labels
         self._cookies = self._tickets = 0
         self._armed = 0  # timers of the module that are set, or wait for their gauges
@@ -333,11 +335,12 @@
             self.post(CallOver(call, ticket, io.Outcome.UNREACHABLE))
             return
         self._dependency.ask(call, ticket, action.until_us, attempt.wanted)
-        self._timers.at(action.until_us + CALL_GRACE_US, lambda: self._call_overdue(attempt, ticket))
+        self._timers.at(action.until_us + CALL_GRACE_US, partial(self._call_overdue, action.id, ticket))
 
-    def _call_overdue(self, attempt: Attempt, ticket: int) -> None:
+    def _call_overdue(self, number: int, ticket: int) -> None:
         """Give up a call whose end nobody tells."""
-        if attempt.stage is Stage.CALLING and attempt.ticket == ticket and attempt.id in self.attempts:
+        attempt = self.attempts.get(number)
+        if attempt and attempt.stage is Stage.CALLING and attempt.ticket == ticket:
             self.counters.add("calls.given_up")
             self._unask(attempt)
             attempt.stage = Stage.AT_CALL
@@ -478,11 +481,21 @@
         due = attempt.due_us + min(GUARD_US, self.settings.slack_us // 2)
         if self.stop_us is not None:
             due = min(due, self.stop_us - STOP_GUARD_US)
-        self._timers.at(max(due, self.now), lambda: self._guard(attempt))
+        # One timer serves all attempts of a slot, and holds ids only: a callback for each kept every
+        # request with its body until it was due, seconds after it was answered.
+        slot = -(-max(due, self.now) // GUARD_SLOT_US)
+        if slot not in self._guards:
+            self._guards[slot] = []
+            self._timers.at(slot * GUARD_SLOT_US, partial(self._guard_slot, slot))
+        self._guards[slot].append(attempt.id)
+
+    def _guard_slot(self, slot: int) -> None:
+        for number in self._guards.pop(slot, ()):
+            attempt = self.attempts.get(number)
+            if attempt is not None and not attempt.answered:
+                self._guard(attempt)
 
     def _guard(self, attempt: Attempt) -> None:
-        if attempt.answered or attempt.id not in self.attempts:
-            return
         self.counters.warn("answers.by_guard", "request {} was due with no answer: answered as failed",
                            attempt.request.call)
         self._give_answer(attempt, Verdict.FAILED)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -33,6 +33,16 @@
     assert made.error_sum == 0.0
 
 
+def test_callers_that_come_and_go_are_not_all_remembered() -> None:
+    made = controller(idle_us=30_000_000)
+    for caller in range(3 * choice.CALLERS_MOST):
+        made.handle(caller + 1, [io.Request(caller + 1, 0, caller, 0, 0, 1.0, 1, 0, 0, 0)])
+        if caller % 100 == 99:
+            tick(made, caller + 1)
+    assert len(made.last_heard) <= choice.CALLERS_MOST
+    assert made.last_heard[3 * choice.CALLERS_MOST - 1] == 3 * choice.CALLERS_MOST  # the newest is known
+
+
 @pytest.mark.parametrize("reading", [None, math.nan, math.inf, -math.inf])
 def test_a_bad_reading_is_left_out_of_the_loop(reading: float | None) -> None:
     made = controller()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,5 +1,8 @@
 """The core under a clock of the test's own: keys by arrival, races for an answer, guards."""
 
+import gc
+import weakref
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -146,6 +149,21 @@
     assert made.verdicts("a") == [Verdict.FAILED] and made.count("answers.by_guard") == 1
 
 
+def test_what_is_over_is_let_go_long_before_it_was_due() -> None:
+    """Guards that held the attempt kept every body for its whole deadline: memory grew with the rate."""
+    made, answers = World(), []
+
+    def reply(answer: Answer) -> None:  # stands for the request: whoever holds one holds the other
+        answers.append(answer.verdict)
+
+    watched = weakref.ref(reply)
+    made.turn(Arrived(replace(made.request("a").request, reply=reply)))
+    made.turn(RunOver("a", OK, result=Result(b"r")))
+    del reply
+    gc.collect()
+    assert answers == [Verdict.SERVED] and watched() is None
+
+
 def test_a_drain_brings_the_guard_before_the_stop() -> None:
     made = World()
     made.turn(made.request("a"))
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -259,8 +259,9 @@
 def deployed(command: str) -> list[str]:
     """Return a command of the deploy file, with the interpreter that runs the tests."""
     words = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())[command].split()
-    assert words[:2] == ["exec", ".venv/bin/python"]
-    return [sys.executable, *words[2:]]
+    python = words.index(".venv/bin/python")
+    assert words[:python] in (["exec"], ["exec", "env", "MALLOC_ARENA_MAX=1"])
+    return [*words[1:python], sys.executable, *words[python + 1:]]
 
 
 def test_run_starts_answers_health_and_leaves_with_status_0(tmp_path: Path) -> None:
