Callers are numbered without end; refused calls come back soon; idle vault lines are dropped

Checked by probes: 'notnow' came within 1 ms for 0.1 to 0.2 s after each true refusal, since the vault's proxy stays away as long as a refusal says (AWAY_US, 0.5 s); 54 calls met connections that the vault had forgotten, all idle for 0.1 s or more and reset within 0.3 ms; has-run resets came at any idle time, so the two can't be told apart.

--- a/reelusher/backends/vault.py
+++ b/reelusher/backends/vault.py
@@ -16,7 +16,8 @@
 from reelusher.net import Address, Outbox, connect, spawn
 from reelusher.wire import lines
 
-IDLE_S = 0.5  # one idle for longer is not used again: the vault may have forgotten it, and resets it then
+IDLE_S = 0.05  # one idle for longer is not used again: the vault forgets them, from 0.1 s on as measured, and
+#                resets the next call there; that it never ran can't be told from a reset after it ran
 CONNECT_S = 1.0
 BACKLOG_BYTES = 1 << 20
 MOST_SERVED = 500  # calls that one connection remembers, after which it is replaced
@@ -138,15 +139,11 @@
         assert wanted is not None and line.outbox is not None
         left_ms = max((wanted.until_us - self._clock.now()) // 1000, 1)
         if not line.outbox.send(lines.vault_ask(wanted.call, left_ms, wanted.body)):
-            self._unmade(line)  # not a byte was taken, so it never ran
-
-    def _unmade(self, line: Line) -> None:
-        """Hand back a call of which nothing was sent."""
-        self._end(line)
-        wanted, line.wanted = line.wanted, None
-        if wanted is not None:
+            # not a byte was taken, so it never ran: it goes out on the next connection
+            self._end(line)
+            line.wanted = None
             del self._busy[wanted.call]
-            self._post(CallOver(wanted.call, wanted.ticket, io.Outcome.UNREACHABLE))
+            self._waiting.appendleft(wanted)
 
     def _drop_idle(self) -> None:
         """Close idle connections that no call may use."""
@@ -175,7 +172,10 @@
             self._counters.warn("vault.unreachable", "vault: no connection: {}", error)
         with self._lock:
             if sock is None:
-                self._unmade(line)
+                unmade, line.wanted = line.wanted, None
+                if unmade is not None:
+                    del self._busy[unmade.call]
+                    self._post(CallOver(unmade.call, unmade.ticket, io.Outcome.UNREACHABLE))
             else:
                 self._counters.add("vault.connected")
                 line.outbox = Outbox(sock, BACKLOG_BYTES)
--- a/reelusher/choice.py
+++ b/reelusher/choice.py
@@ -38,12 +38,13 @@
 SPENT_BACK = 0.005  # weight that G wins back each period in which the cores are under the target
 CALL_TIMES = 2  # a call is made only if it may last this many times the mean
 CALL_MOST, CALL_PART = 8, 0.25  # it may last so many times the mean, or that part of the call time still free
+CALL_AGAIN = 2  # times that an optional call that was turned away is made again before it is left out
 CALL_FADE = 0.99  # what is left of the mean call time each period without a call: the way back
 CALL_SAFE = 0.4  # the level: part of our share that calls in hand stay under in the mean
 CALL_AHEAD_US = 250_000  # of the level may be used at once
 REFUSE_MOST = 0.9  # the likeliest refusal of an arrival
 REFUSE_FADE = 0.7  # what is left of that likelihood a period after its cause has gone
-AWAY_US = 500_000  # how long the caller of a turned-away request is asked to stay away
+AWAY_US = 100_000  # how long the caller of a turned-away request is asked to stay away
 LEARN = 0.1  # weight of the newest run in the mean time of its class
 NEED_SAFE = 1.3  # times the mean that a run is reckoned to take; the mean ends late half the time
 NEED_MOST = 0.5  # part of an aim that the mean time may claim, so that a slow spell can't lock a class out
@@ -59,7 +60,8 @@
     """A request that is not over."""
 
     __slots__ = (
-        "request", "kind", "state", "kb", "arrived_us", "aim_us", "due_us", "answered", "ran", "until_us")
+        "request", "kind", "state", "kb", "arrived_us", "aim_us", "due_us", "answered", "ran", "until_us",
+        "asked_again")
 
     def __init__(self, request: Request, settings: Settings, now: int) -> None:
         self.request = request
@@ -71,6 +73,7 @@
         self.due_us = max(now, now + request.left_us if request.left_us
                           else self.arrived_us + self.kind.deadline_us)
         self.answered = self.ran = False
+        self.asked_again = 0  # calls made again since they never ran
         self.until_us = 0  # at a call: not made before then; calling: given up then
 
 
@@ -381,9 +384,13 @@
             self.lingering.append(self.now + self.settings.linger_us)
         if event.outcome is Outcome.OK or work.answered:
             return
-        if work.kind.skip_share > 0:
+        full, optional = event.outcome is Outcome.REJECTED, work.kind.skip_share > 0
+        if optional and full and work.asked_again < CALL_AGAIN and self._reachable(work):
+            work.asked_again += 1
+            work.until_us = self.now + PERIOD_US
+        elif optional:
             self._skip(work)
-        elif event.outcome in (Outcome.REJECTED, Outcome.UNREACHABLE):
+        elif full or event.outcome is Outcome.UNREACHABLE:
             work.until_us = self.now + PERIOD_US
         else:
             self._answer(work)
--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -21,6 +21,7 @@
 MOST_BAD = 8  # requests answered with an error, after which a connection is read no further
 DOOR_AHEAD_US = 2_000_000  # a door later than the clock by more than that is wrong
 DOOR_BEHIND_US = 10_000_000  # one older by more than that, beyond the longest deadline, is wrong
+MOST_CALLER = 1 << 53  # callers that restart get new numbers, without end
 BACKLOG_BYTES = 1 << 18  # answers that a slow caller may leave unread
 SWEEP_S = 0.1  # between looks at idle connections
 SILENT_S = 1.5  # a connection that has sent nothing whole is told to go after this
@@ -283,7 +284,7 @@
         return Request(
             call=call, kind=kind, body=body, door_us=int(door_ms * 1000),
             reply=lambda answer: self._reply(connection, number, answer), tenant=self._tenant,
-            caller=int(number_of(fields, "lb", 0, 65535, 0)), subject=subject_of(item) if item else 0,
+            caller=int(number_of(fields, "lb", 0, MOST_CALLER, 0)), subject=subject_of(item) if item else 0,
             held_kb=number_of(fields, "ram", 0, MOST_HELD_KB, 0.0),
             hint_us=int(number_of(fields, "cpu", 0, 3.6e6, 0) * 1000), key=key)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,5 +2,8 @@
 
 from loguru import logger
 
+from reelusher.backends import vault
+
 logger.remove()
 logger.add(lambda line: None, level="DEBUG")
+vault.IDLE_S = 5.0  # a test's steps lie further apart than the calls of a node
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,6 +1,7 @@
 """The decision module, fed scripted events: the design's steps."""
 
 import math
+from dataclasses import replace
 
 import pytest
 from helpers import MUST_CALL, SAFE, controller, ids, of, settings, tick
@@ -301,3 +302,24 @@
     tick(made, 2_000_000)
     tick(made, 4_000_000)
     assert len(made.last_heard) <= choice.CALLERS_MOST and not made.heard
+
+
+def test_an_optional_call_that_never_ran_is_made_again_twice_before_it_is_left_out() -> None:
+    """A node below that turns one call away has room a moment later; a poorer answer loses half its worth."""
+    made = controller(replace(SAFE, skip_share=0.5, calls=True))
+    made.handle(1, [io.Request(1, 0, 1, 0, 0, 1.0, 1, 0, 0, 0)])
+    now, calls = 2, of(made.handle(2, [io.CallNeeded(1)]), io.Call)
+    assert len(calls) == 1
+    for _ in range(choice.CALL_AGAIN):
+        assert not of(made.handle(now, [io.CallEnded(1, io.Outcome.REJECTED, 5)]), io.Call, io.Skip)
+        now += choice.PERIOD_US
+        assert ids(tick(made, now), io.Call) == [1]
+    assert ids(made.handle(now, [io.CallEnded(1, io.Outcome.REJECTED, 5)]), io.Skip) == [1]
+
+
+@pytest.mark.parametrize("outcome", [io.Outcome.CUT_OFF, io.Outcome.ERROR, io.Outcome.TIMEOUT])
+def test_an_optional_call_that_may_have_run_is_not_made_again(outcome: io.Outcome) -> None:
+    made = controller(replace(SAFE, skip_share=0.5, calls=True))
+    made.handle(1, [io.Request(1, 0, 1, 0, 0, 1.0, 1, 0, 0, 0)])
+    made.handle(2, [io.CallNeeded(1)])
+    assert ids(made.handle(3, [io.CallEnded(1, outcome, 5)]), io.Skip) == [1]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -135,6 +135,11 @@
         runtime send end $X ok r
         c1 expect 1 ok r
         c1 expect closed""",
+    "callers are numbered without end": """
+        c1 send 1 slot-search lb=70001
+        runtime expect start * as X
+        runtime send end $X ok r
+        c1 expect 1 ok r""",
     "more open requests than the protocol allows are turned away at once": "with busy=1" + "".join(f"""
         c1 send {number} slot-search""" for number in range(1, 70)) + """
         node expect count platform.closed_bad 1""",
