Young commands go out again after a break, though gauges have answered meanwhile

Sending a start again is harmless; a notice of the run settles what went out for it, so no reply is handed to a later call.

--- a/reelusher/backends/runtime.py
+++ b/reelusher/backends/runtime.py
@@ -18,6 +18,7 @@
 RETRY_S = 0.05  # between tries to connect
 CONNECT_S = 2.0
 BACKLOG_BYTES = 8 << 20
+LOST_S = 0.06  # a break may take commands along that went out so shortly before: 50 ms, and the way
 RESTART_S = 5.0  # a start later than the known one by this is another start: clocks and pauses blur less
 ENDS = {"ok": io.Outcome.OK, "failed": io.Outcome.ERROR, "halted": io.Outcome.CANCELLED,
         "void": io.Outcome.MOOT}
@@ -26,11 +27,13 @@
 class Unproved:
     """Commands that the runtime may not have read yet, in the order in which they went out.
 
-    Each notice and each answered mark settles some, so nothing here looks through all of them.
+    Each notice and each answered mark settles some, so nothing here looks through all of them. What is
+    young stays though a mark was answered: a break takes the newest commands with it, read or not.
     """
 
-    def __init__(self) -> None:
-        self._lines: dict[int, tuple[str, bytes]] = {}  # by order: the run and its command
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._lines: dict[int, tuple[str, bytes, float]] = {}  # by order: the run, its command, when it went
         self._of_call: dict[str, list[int]] = {}
         self._marks: dict[str, int] = {}  # cookies of asked gauges: how much went out before them
         self._last = 0
@@ -41,7 +44,7 @@
     def add(self, call: str, line: bytes) -> None:
         """Note a command."""
         self._last += 1
-        self._lines[self._last] = call, line
+        self._lines[self._last] = call, line, self._clock()
         self._of_call.setdefault(call, []).append(self._last)
 
     def mark(self, cookie: str) -> None:
@@ -50,9 +53,12 @@
 
     def answered(self, cookie: str) -> None:
         """Drop what went out before these gauges were asked for."""
-        upto = self._marks.pop(cookie, 0)
+        upto, young = self._marks.pop(cookie, 0), self._clock() - LOST_S
         while self._lines and (order := next(iter(self._lines))) <= upto:
-            call, _ = self._lines.pop(order)
+            call, _, sent = self._lines[order]
+            if sent > young:
+                return
+            del self._lines[order]
             left = self._of_call[call]
             left.remove(order)  # the first of a few
             if not left:
@@ -66,7 +72,7 @@
     def on_new_link(self) -> list[bytes]:
         """Return what is to be sent again; gauges asked for on the old link get no answer."""
         self._marks.clear()
-        return [line for _, line in self._lines.values()]
+        return [line for _, line, _ in self._lines.values()]
 
     def clear(self) -> None:
         """Forget all of it."""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -18,6 +18,7 @@
 
 from reelusher.admin import tenants
 from reelusher.backends import vault
+from reelusher.backends.runtime import Unproved
 from reelusher.config import ConfigError, load
 from reelusher.config.operator import parse as parse_operator
 from reelusher.config.platform import parse as parse_platform
@@ -320,6 +321,26 @@
     assert done.stdout == bytes.fromhex("01000000 00000000 00000000")
 
 
+def test_young_commands_go_out_again_after_a_break_though_gauges_have_answered() -> None:
+    """A break loses the last 50 ms of commands; gauges answered within them proved nothing about these."""
+    now = 0.0
+    sent = Unproved(lambda: now)
+    sent.add("a", b"start a")
+    sent.add("b", b"start b")
+    now = 0.1
+    sent.add("a", b"give a")
+    sent.add("c", b"start c")
+    sent.mark("t1")
+    sent.add("d", b"start d")
+    sent.answered("t1")
+    assert sent.on_new_link() == [b"give a", b"start c", b"start d"]
+    sent.noticed("c")  # its run has told something, so its start was carried out
+    now = 0.2
+    sent.mark("t2")
+    sent.answered("t2")
+    assert sent.on_new_link() == [] and len(sent) == 0
+
+
 def test_an_idle_connection_to_the_vault_is_not_used_again() -> None:
     """The vault forgets idle ones, and a call that is reset there would prove nothing and be failed."""
     came: queue.SimpleQueue[Message] = queue.SimpleQueue()
