--- a/reelusher/backends/vault.py
+++ b/reelusher/backends/vault.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from loguru import logger
 
@@ -13,7 +14,7 @@
 from reelusher.core.clock import Clock
 from reelusher.core.counters import Counters
 from reelusher.core.model import CallOver, Message
-from reelusher.net import Address, Outbox, connect, spawn
+from reelusher.net import Address, Crew, Outbox, connect
 from reelusher.wire import lines
 
 IDLE_S = 0.05  # one idle for longer is not used again: the vault forgets them, from 0.1 s on as measured, and
@@ -74,6 +75,7 @@
         self._busy: dict[str, Line] = {}  # by the call that is out
         self._waiting: deque[Wanted] = deque()
         self._lines = 0  # that have a thread
+        self._crew = Crew("vault-line", most_lines)
 
     def close(self) -> None:
         """End all connections."""
@@ -124,7 +126,7 @@
                     return
                 line = Line(self._address)
                 self._lines += 1
-                spawn("vault-line", lambda line=line: self._carry(line))  # type: ignore[misc]
+                self._crew.run(partial(self._carry, line))
             else:
                 self._idle.remove(line)
             self._waiting.popleft()
--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import hashlib
+import heapq
 import math
 import socket
 import threading
@@ -29,8 +30,10 @@
 FRAME_S = 2.0  # a request that has begun must be whole within this
 SPARE = 16  # connections past the most that may stand while those closed for them are let go
 FRESH_S = 0.1  # a connection younger than this is not closed to make room
-ONCE_PART, ONCE_IDLE_S = 0.2, 4.0  # above this part of the most, one used once is closed after this idle
-CROWDED = ((0.5, 4.0), (0.75, 1.0))  # above a part of the most: all that are idle for so many seconds
+ROOM_PART = 16  # one in so many connections is closed at once to make room
+# Above a part of the most, connections may be idle for so many seconds: those used once, and any other.
+CROWDED = ((0.2, 4.0, 30.0), (0.5, 1.0, 4.0), (0.75, 0.3, 1.0))
+CROWDED_LEAVE_S = 0.3  # a caller told `lastCall` then closes within this, or is closed
 LEAVE_S = 2.0  # a caller told `lastCall` closes within this, or is closed
 MOST_HELD_KB = 2000.0
 
@@ -56,6 +59,7 @@
         self.bad = 0  # of them, answered with an error by the front
         self.partial_since = 0.0  # when the message that is not whole yet began; 0: there is none
         self.told_last = 0.0  # when `lastCall` was sent; 0: not yet
+        self.ending = False  # its reader is to end it
         self.ended = False  # nothing more comes in
 
     def answer(self, number: int, error: Any, result: Any) -> None:
@@ -69,10 +73,12 @@
             self.outbox.close()
 
     def close_idle(self) -> None:
-        """End the connection unless a request is open on it; one that crosses this is not taken."""
-        with self.lock:
-            if not self.open:
-                self.outbox.close()
+        """Let the reader end the connection, once it has read what has come in by now.
+
+        It was closed here at once before: on a busy core, requests that lay unread were lost with it.
+        """
+        self.ending = True
+        self.stop_reading()
 
     def last_call(self, now: float) -> None:
         """Tell the caller to send nothing more here."""
@@ -163,24 +169,33 @@
 
     def _admit(self, sock: socket.socket) -> bool:
         """Take a new connection, and make room for it where the table is full."""
-        connections, now = self._all(), time.monotonic()
-        if len(connections) >= self._most:
-            # who has never asked anything goes first, then who has been idle for longest
-            going = [(connection.heard > 0, connection.used, number) for number, connection
-                     in enumerate(connections) if not connection.outbox.closed
-                     and connection.idle_for(now) > FRESH_S and not connection.partial_since]
-            if not going or len(connections) >= self._most + SPARE:
-                return False
-            self._core.counters.warn("platform.closed_for_room",
-                                     "platform: {} connections are open: idle ones are closed for new ones",
-                                     len(connections))
-            connection = connections[min(going)[2]]
-            connection.last_call(now)
-            connection.close_idle()
+        count = len(self._connections)
+        if count >= self._most + SPARE:
+            return False
+        if count >= self._most and not self._made_room():
+            return False
         with self._lock:
             self._connections[sock] = Connection(sock, self._budget)
         return True
 
+    def _made_room(self) -> bool:
+        """Close some idle connections at once: a look through all of them for each new one costs a core."""
+        now = time.monotonic()
+        # who has never asked anything goes first, then who was used once, then who is idle for longest
+        going = [(min(connection.heard, 2), connection.used, number, connection) for number, connection
+                 in enumerate(self._all()) if not connection.open and not connection.partial_since
+                 and now - connection.used > FRESH_S and not connection.ending]
+        going = heapq.nsmallest(max(self._most // ROOM_PART, 1), going)
+        for *_, connection in going:
+            self._core.counters.add("platform.closed_for_room")
+            connection.last_call(now)
+            connection.close_idle()
+        if going:
+            self._core.counters.warn(
+                "platform.full", "platform: {} connections are open: idle ones are closed for new ones",
+                self._most)
+        return bool(going)
+
     def _serve(self, sock: socket.socket, peer: Address) -> None:
         connection, decoder = self._connections[sock], msgpack.Decoder(MOST_FRAME)
         try:
@@ -250,8 +265,6 @@
                 raise Enough from None
             return
         with connection.lock:
-            if connection.outbox.closed:  # nothing has run, and nothing could be answered
-                return
             connection.open[number] = request.call
         self._core.post(Arrived(request))
 
@@ -311,21 +324,25 @@
         while not self._closed:
             time.sleep(SWEEP_S)
             now, connections = time.monotonic(), self._all()
-            once_s, idle_s = self._idle_limits(len(connections))
+            once_s, idle_s, leave_s = self._idle_limits(len(connections))
             for connection in connections:
-                self._look_at(connection, now, once_s if connection.heard == 1 else idle_s)
+                self._look_at(connection, now, once_s if connection.heard == 1 else idle_s, leave_s)
 
-    def _idle_limits(self, count: int) -> tuple[float, float]:
-        """Return how many seconds a connection may be idle that was used once, and any other."""
+    def _idle_limits(self, count: int) -> tuple[float, float, float]:
+        """Return how long one used once may be idle, any other may be, and may stay after `lastCall`."""
         usual, told = self._core.settings.idle_us, self._core.told.idle_us
         # callers close idle connections themselves; only an earlier wish, or a dead peer, is for us
         idle_s = (told if 0 < told < usual else 2 * usual) / 1e6 or math.inf
-        part = count / self._most
-        idle_s = min([idle_s, *(limit for least, limit in CROWDED if part > least)])
-        return min(idle_s, ONCE_IDLE_S) if part > ONCE_PART else idle_s, idle_s
+        once_s, leave_s = idle_s, LEAVE_S
+        for least, once, other in CROWDED:
+            if count > least * self._most:
+                once_s, idle_s, leave_s = min(once_s, once), min(idle_s, other), CROWDED_LEAVE_S
+        return once_s, idle_s, leave_s
 
-    def _look_at(self, connection: Connection, now: float, limit_s: float) -> None:
+    def _look_at(self, connection: Connection, now: float, limit_s: float, leave_s: float) -> None:
         """Close one connection if it is time: `lastCall` first, and never with open requests."""
+        if connection.ending:
+            return
         idle = connection.idle_for(now)
         begun = connection.partial_since
         if begun and now - begun > FRAME_S:
@@ -333,7 +350,7 @@
             connection.partial_since = 0.0
             connection.stop_reading()
         elif connection.told_last:
-            if idle and now - connection.told_last > (LEAVE_S if connection.heard else SILENT_LEAVE_S):
+            if idle and now - connection.told_last > (leave_s if connection.heard else SILENT_LEAVE_S):
                 connection.close_idle()
         elif not connection.heard and idle > SILENT_S:
             self._core.counters.add("platform.closed_silent")
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 import tomllib
 from pathlib import Path
@@ -15,6 +16,8 @@
 
 import pytest
 import scenario
+from helpers import settings
+from test_core import Backend
 
 from reelusher.admin import tenants
 from reelusher.backends import vault
@@ -25,11 +28,14 @@
 from reelusher.core.clock import Clock
 from reelusher.core.counters import Counters
 from reelusher.core.model import CallOver, Message
+from reelusher.core.owner import Core
+from reelusher.fronts.platform import PlatformFront
 from reelusher.importer import httpd, jk
 from reelusher.importer.__main__ import main as run_importer
 from reelusher.importer.model import Imported
 from reelusher.interface import Outcome
-from reelusher.net import Listener, Outbox
+from reelusher.net import Crew, Listener, Outbox
+from reelusher.wire import msgpack
 
 ROOT = Path(__file__).parent.parent
 PLATFORM = {"name": "n1", "listen": "127.0.0.1:0", "runtime": "127.0.0.1:1", "settings": scenario.SETTINGS}
@@ -321,6 +327,42 @@
     assert done.stdout == bytes.fromhex("01000000 00000000 00000000")
 
 
+def test_a_crew_uses_its_threads_again_and_outlives_a_fault(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A thread for each connection took most of the core where hundreds came and went each second."""
+    crew, done = Crew("crew", most_free=2), queue.SimpleQueue[int]()
+    told: list[Any] = []
+    monkeypatch.setattr(threading, "excepthook", told.append)
+
+    def fail() -> None:
+        done.put(threading.get_ident())
+        raise ValueError("of this work")
+
+    threads = set()
+    for work in (fail, lambda: done.put(threading.get_ident())) * 10:
+        crew.run(work)
+        threads.add(done.get(timeout=10))
+        until = time.monotonic() + 10
+        while not crew._free and time.monotonic() < until:
+            time.sleep(0.001)
+    assert len(threads) == 1 and len(told) == 10
+
+
+def test_what_lies_unread_when_an_idle_connection_is_closed_is_still_answered() -> None:
+    """On a busy core the reader runs late: a close that did not wait for it lost what had come in."""
+    front = PlatformFront(Core(settings(), [], 1, Backend()), ("127.0.0.1", 0), "t", 8, 1 << 20)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        far = socket.create_connection(listener.getsockname(), 10)
+        near, peer = listener.accept()
+    assert front._admit(near)
+    far.sendall(msgpack.pack([0, 1, "health", [{}]]))
+    front._connections[near].close_idle()
+    front._serve(near, peer)  # the reader gets its turn only now
+    assert list(msgpack.Decoder().feed(far.recv(100))) == [[1, 1, None, [True, {}]]]
+    assert far.recv(100) == b"" and front.open_connections() == 0
+    far.close()
+    front.close()
+
+
 def test_young_commands_go_out_again_after_a_break_though_gauges_have_answered() -> None:
     """A break loses the last 50 ms of commands; gauges answered within them proved nothing about these."""
     now = 0.0
