--- a/reelusher/backends/vault.py
+++ b/reelusher/backends/vault.py
@@ -14,7 +14,7 @@
 from reelusher.core.clock import Clock
 from reelusher.core.counters import Counters
 from reelusher.core.model import CallOver, Message
-from reelusher.net import Address, Crew, Outbox, connect
+from reelusher.net import Address, Outbox, connect, spawn
 from reelusher.wire import lines
 
 IDLE_S = 0.05  # one idle for longer is not used again: the vault forgets them, from 0.1 s on as measured, and
@@ -75,7 +75,6 @@
         self._busy: dict[str, Line] = {}  # by the call that is out
         self._waiting: deque[Wanted] = deque()
         self._lines = 0  # that have a thread
-        self._crew = Crew("vault-line", most_lines)
 
     def close(self) -> None:
         """End all connections."""
@@ -126,7 +125,7 @@
                     return
                 line = Line(self._address)
                 self._lines += 1
-                self._crew.run(partial(self._carry, line))
+                spawn("vault-line", partial(self._carry, line))
             else:
                 self._idle.remove(line)
             self._waiting.popleft()
@@ -177,13 +176,16 @@
                 unmade, line.wanted = line.wanted, None
                 if unmade is not None:
                     del self._busy[unmade.call]
+                if unmade is not None and line.address != self._address:
+                    self._waiting.appendleft(unmade)  # it never ran, and there is another place by now
+                elif unmade is not None:
                     self._post(CallOver(unmade.call, unmade.ticket, io.Outcome.UNREACHABLE))
             else:
                 self._counters.add("vault.connected")
                 line.outbox = Outbox(sock, BACKLOG_BYTES)
-                if line.wanted is None:  # given up meanwhile
+                if line.wanted is None or line.over:  # given up or closed meanwhile
                     self._end(line)
-                elif not line.over:
+                else:
                     self._send(line)
         if sock is not None and line.outbox is not None:
             self._read(line, sock)
--- a/reelusher/net.py
+++ b/reelusher/net.py
@@ -2,9 +2,7 @@
 
 import contextlib
 import errno
-import queue
 import socket
-import sys
 import threading
 import time
 from collections import deque
@@ -32,45 +30,6 @@
     return thread
 
 
-class Crew:
-    """Threads for short work. One that is done waits for more, since starting one costs ten times as much.
-
-    Where connections come and go by the hundred each second, their threads took most of the node's core.
-    """
-
-    def __init__(self, name: str, most_free: int = 64) -> None:
-        self._name = name
-        self._most_free = most_free
-        self._free = 0  # threads that wait, less the work on its way to them
-        self._lock = threading.Lock()
-        self._work: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
-
-    def run(self, work: Callable[[], None]) -> None:
-        """Have a thread do this."""
-        with self._lock:
-            free = self._free > 0
-            self._free -= free
-        if free:
-            self._work.put(work)
-        else:
-            spawn(self._name, partial(self._serve, work))
-
-    def _serve(self, work: Callable[[], None]) -> None:
-        while True:
-            try:
-                work()
-            except Exception:  # told like a fault that ends a thread, but this one goes on
-                told = threading.ExceptHookArgs((*sys.exc_info(), threading.current_thread()))
-                threading.excepthook(told)
-                del told
-            del work  # what it holds goes while the thread waits
-            with self._lock:
-                if self._free >= self._most_free:
-                    return
-                self._free += 1
-            work = self._work.get()
-
-
 def connect(address: Address, timeout: float) -> socket.socket:
     """Open a connection; the socket blocks."""
     sock = socket.create_connection(address, timeout)
@@ -200,7 +159,6 @@
         """`admit` is asked by the accepting thread; what it turns away is closed before a thread is spent."""
         self._name = name
         self._admit = admit
-        self._crew = Crew(f"{name}-reader")
         self._counters = counters
         self._serve = serve
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -248,7 +206,7 @@
             self._counters.add(f"{self._name}.accepted")
             try:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                self._crew.run(partial(self._serve, sock, peer))
+                spawn(f"{self._name}-reader", partial(self._serve, sock, peer))
             except (OSError, RuntimeError) as error:
                 logger.error("{}: no thread for a connection: {}", self._name, error)
                 sock.close()
