One thread reads all callers, and a drain ends each connection by the clock

Change: reelusher/drain plans the stages of a drain back from the stop (free of I/O), a signal's earliest time is proved by waits that end without one, and the platform's connections are read, told, read out, flushed and shut by one poller thread that nothing can hold up. What is read too late is refused at the door. A malformed message answers what is open with an error. Reloads have a thread of their own.

--- a/reelusher/choice.py
+++ b/reelusher/choice.py
@@ -438,7 +438,8 @@
 
     def _drain(self, event: Drain) -> None:
         """Leave: callers are told at once, and everything is due before the stop."""
-        self.stop_us, self.grace_us = self.now + event.left_us, self.now + self.settings.grace_us
+        self.stop_us = self.now + event.left_us
+        self.grace_us = min(self.grace_us, self.now - event.since_us + self.settings.grace_us)
         self.out.append(Health(False, True))
         for work in self.work.values():
             work.due_us = min(work.due_us, self.stop_us - self.margin_us)
--- a/reelusher/core/attempts.py
+++ b/reelusher/core/attempts.py
@@ -43,6 +43,7 @@
         self._by_id: dict[int, Attempt] = {}
         self._by_call: dict[str, Attempt] = {}
         self._last = 0
+        self.owed = 0  # answers, for any thread to look at
 
     def __len__(self) -> int:
         return len(self._by_id)
@@ -58,6 +59,7 @@
         self._last += 1
         attempt = Attempt(self._last, request, runner, due_us)
         self._by_id[attempt.id] = self._by_call[request.call] = attempt
+        self.owed += 1
         return attempt
 
     def get(self, number: int) -> Attempt | None:
@@ -74,6 +76,8 @@
         if self._by_call.get(attempt.request.call) is attempt:
             del self._by_call[attempt.request.call]
 
-    def unanswered(self) -> int:
-        """Count those that are owed an answer."""
-        return sum(not attempt.answered for attempt in self._by_id.values())
+    def answer(self, attempt: Attempt) -> None:
+        """Note that no answer is owed any more."""
+        if not attempt.answered:
+            attempt.answered = True
+            self.owed -= 1
--- a/reelusher/core/model.py
+++ b/reelusher/core/model.py
@@ -148,9 +148,10 @@
 
 @dataclass(slots=True, frozen=True)
 class DrainOrder:
-    """The node is told to leave."""
+    """The node is told to leave. A second order may only bring the stop forward."""
 
     left_us: int
+    since_us: int = 0  # how long ago it was told so
 
 
 @dataclass(slots=True, frozen=True)
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -21,6 +21,7 @@
     Answer, Arrived, Ask, CallOver, CallWanted, Dependency, DrainOrder, GaugesRead, Left, Message, Request,
     Result, Runner, RunOver, RunsLost, Verdict)
 from reelusher.core.timers import Timers
+from reelusher.drain.plan import Pace
 
 GAUGES_WAIT_US = 50_000  # a tick waits this long for its gauges, then goes without
 CALL_GRACE_US = 60_000  # a call is given up here when no reply has come this long after its time
@@ -74,6 +75,7 @@
         self._guards: dict[int, list[int]] = {}  # slots of time, and the attempts to look after then
         self._ticks: dict[str, int] = {}  # cookies of ticks that wait for gauges, and their labels
         self._cookies = self._tickets = 0
+        self._pace = Pace()
         self._armed = 0  # timers of the module that are set, or wait for their gauges
         self._handlers: dict[type, Callable[[Any], None]] = {
             Arrived: self._arrived, Left: self._left, RunOver: self._run_over, CallWanted: self._call_wanted,
@@ -134,6 +136,9 @@
     def turn(self, batch: list[Message]) -> None:
         """Handle one batch at one time by the clock."""
         self.now = self.clock.now()
+        due = self._timers.next_us()
+        if due is not None and due <= self.now:
+            self._pace.note((self.now - due) / 1e6, self.now / 1e6)
         for message in batch:
             self._guarded(partial(self._handlers[type(message)], message))
         self._timers.run_due(self.now, self._guarded)
@@ -162,6 +167,10 @@
         for action in self._controller.handle(self.now, events):
             self._actions[type(action)](action)
 
+    def late_s(self) -> float:
+        """Return by how many seconds the owner's timers are late at present; from any thread."""
+        return self._pace.late_s(self.clock.now() / 1e6)
+
     def decisions(self) -> dict[str, float]:
         """Return what the module steers by at present; called by the owner."""
         made = self._controller
@@ -216,7 +225,7 @@
 
     def _gone(self, attempt: Attempt) -> None:
         """Note that no answer is owed any more, and tell the module."""
-        attempt.answered = True
+        self.attempts.answer(attempt)
         self._events.append(io.Gone(attempt.id))
         self._settle(attempt)
 
@@ -278,13 +287,15 @@
                 self._run_over(RunOver(attempt.request.call, io.Outcome.ERROR))
 
     def _drain(self, message: DrainOrder) -> None:
-        if self.stop_us is None:
-            self.stop_us = self.now + message.left_us
-            self._grace_end_us = self.now + self.settings.grace_us
-            self.told.draining = True
-            for attempt in self.attempts:
-                self._set_guard(attempt)
-            self._events.append(io.Drain(message.left_us))
+        stop_us = self.now + message.left_us
+        if self.stop_us is not None and stop_us >= self.stop_us:
+            return
+        if self._grace_end_us is None:
+            self._grace_end_us = self.now - message.since_us + self.settings.grace_us
+        self.stop_us, self.told.draining = stop_us, True
+        for attempt in self.attempts:
+            self._set_guard(attempt)
+        self._events.append(io.Drain(message.left_us, message.since_us))
 
     def _ask(self, message: Ask) -> None:
         try:
@@ -446,7 +457,7 @@
         """Give the one final answer."""
         if not self.counters.must(not attempt.answered, "one answer a request"):
             return
-        attempt.answered = True
+        self.attempts.answer(attempt)
         self.counters.add("answers." + verdict.value)
         attempt.request.reply(self._answer_of(verdict, result, away_us, no_retry))
 
--- a/reelusher/fronts/ajp.py
+++ b/reelusher/fronts/ajp.py
@@ -18,13 +18,17 @@
 from reelusher.config.operator import Ajp, Tenant
 from reelusher.core.model import Answer, Arrived, Request, Verdict
 from reelusher.core.owner import Core
+from reelusher.drain.ending import unread_bytes
+from reelusher.drain.leave import LOOK_S
+from reelusher.drain.plan import Facts, Stages
 from reelusher.fronts.platform import subject_of
-from reelusher.net import Address, Listener
+from reelusher.net import Address, Listener, spawn
 from reelusher.wire import ajp13
 
 SEND_S = 10.0  # a web server that takes no part of an answer for this long loses the connection
 BODY_S = 10.0  # a body that is asked for has come within this
 LEAVE_S = 0.2  # requests that cross the drain's end are still read for this long
+PARTING_S, PARTING_BYTES = 0.2, 1 << 18  # what is still read, unheeded, after a connection's last answer
 LONGEST_WAIT_S = 3600.0  # no answer takes as long: the core answers by the due time
 REASONS = {400: "Bad Request", 403: "Forbidden", 404: "Not Found", 413: "Content Too Large",
            500: "Internal Server Error", 503: "Service Unavailable"}
@@ -70,7 +74,9 @@
         self._open: dict[socket.socket, bool] = {}  # connections, and whether a request is open on them
         self._in_hand: Counter[str] = Counter()  # requests by tenant
         self._lock = threading.Lock()
-        self._leaving = False
+        self._leaving = self._closed = False
+        self._plan: Stages | None = None  # of a drain
+        self._owed: tuple[Facts, float] | None = None
         self._listener = Listener("ajp", config.listen, core.counters, self._serve)
         self.address = self._listener.address
 
@@ -78,31 +84,43 @@
         """Start to listen."""
         self._listener.start()
 
-    def stop_listening(self) -> None:
-        """Accept no more connections, and let each end after what it carries."""
-        self._leaving = True
-        self._listener.stop()
+    def drain(self, plan: Stages) -> None:
+        """End by this plan, which may come again with earlier times."""
+        first, self._plan = self._plan is None, plan
+        if first:
+            spawn("ajp-ending", self._end_all)
+
+    def owed(self) -> tuple[Facts, float] | None:
+        """Return what was owed on all connections together at the last look, and when that was."""
+        return self._owed
 
     def close(self) -> None:
         """End everything at once."""
-        self.stop_listening()
+        self._closed = self._leaving = True
+        self._listener.stop()
         with self._lock:
             for sock in self._open:
                 with contextlib.suppress(OSError):
                     sock.shutdown(socket.SHUT_RDWR)
 
+    def _end_all(self) -> None:
+        """Let each connection end after what it carries, and look what is still owed."""
+        while not self._closed:
+            now, plan = time.monotonic(), self._plan
+            if plan is not None and now >= plan.tell_s:
+                if not self._leaving:
+                    self._leaving = True
+                    self._listener.stop()
+                with self._lock:
+                    carrying = dict(self._open)
+                self._owed = Facts(sum(carrying.values()), 0, sum(
+                    unread_bytes(sock) for sock, busy in carrying.items() if not busy)), now
+            time.sleep(LOOK_S)
+
     def open_connections(self) -> int:
         """Count the connections of web servers."""
         return len(self._open)
 
-    def flush(self, until: float) -> bool:
-        """Wait until all answers are sent, or until this time of the monotonic clock."""
-        while any(list(self._open.values())):
-            if time.monotonic() >= until:
-                return False
-            time.sleep(0.01)
-        return True
-
     # A connection
 
     def _serve(self, sock: socket.socket, peer: Address) -> None:
@@ -181,6 +199,9 @@
         secret = forward.attributes.get("secret", "")
         if self._config.secret and not hmac.compare_digest(secret.encode(), self._config.secret.encode()):
             raise Rejected(403, "the secret is missing or wrong", closes=True)
+        if self._plan is not None and time.monotonic() >= self._plan.refuse_s:
+            self._core.counters.add("drain.refused_at_the_door")
+            return Answer(Verdict.REFUSED)  # its body stays unread, and the connection ends
         door_us = self._core.clock.now()
         body = self._body(stream, forward)
         match = self._match(forward)
@@ -284,8 +305,22 @@
         reuse = reuse and not self._leaving
         stream.sock.settimeout(SEND_S)
         stream.sock.sendall(ajp13.write_response(head, body, reuse, self._config.packet_size))
+        if not reuse:
+            self._part(stream.sock)
         return reuse
 
+    def _part(self, sock: socket.socket) -> None:
+        """Read on, unheeded: a close with something unread would reset the answer on its way."""
+        until, left = time.monotonic() + PARTING_S, PARTING_BYTES
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_WR)
+            while left > 0 and (wait := until - time.monotonic()) > 0:
+                sock.settimeout(wait)
+                data = sock.recv(1 << 16)
+                if not data:
+                    return
+                left -= len(data)
+
 
 def _text_headers(text: str) -> tuple[tuple[str, str], ...]:
     return ("Content-Type", "text/plain"), ("Content-Length", str(len(text.encode()) + 1))
--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -1,18 +1,22 @@
 """The platform's front: MessagePack-RPC over TCP, translated to the core's requests and answers."""
 
-import contextlib
 import hashlib
 import heapq
 import math
 import socket
 import threading
 import time
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from reelusher import interface as io
 from reelusher.core.model import Answer, Arrived, Left, Request, Verdict
 from reelusher.core.owner import Core
-from reelusher.net import Address, Budget, Listener, Outbox, spawn
+from reelusher.drain.ending import Endings, unread_bytes
+from reelusher.drain.plan import Facts, Stages, Step
+from reelusher.net import Address, Budget, Exhausted, Listener, Outbox
+from reelusher.poller import Poller
 from reelusher.wire import msgpack
 
 CALL, ANSWER, NOTICE = 0, 1, 2  # of MessagePack-RPC
@@ -36,6 +40,9 @@
 CROWDED_LEAVE_S = 0.3  # a caller told `lastCall` then closes within this, or is closed
 LEAVE_S = 2.0  # a caller told `lastCall` closes within this, or is closed
 MOST_HELD_KB = 2000.0
+READ_BYTES = 1 << 14  # of one connection before others have their turn
+MOST_ACCEPTED = 32  # connections taken before those that are open have their turn
+LATER_MS = 100  # how long a caller refused at the door is asked to stay away, as the module asks at least
 
 
 class BadRequest(Exception):
@@ -47,11 +54,13 @@
 
 
 class Connection:
-    """One caller's connection. Its reader is the only thread that reads; answers come from the owner."""
+    """One caller's connection. The poller is the only thread that reads; answers come from the owner."""
 
-    def __init__(self, sock: socket.socket, budget: Budget) -> None:
+    def __init__(self, sock: socket.socket, budget: Budget, peer: Address = ("", 0)) -> None:
         self.sock = sock
+        self.peer = peer
         self.outbox = Outbox(sock, BACKLOG_BYTES, budget)
+        self.decoder = msgpack.Decoder(MOST_FRAME)
         self.lock = threading.Lock()
         self.open: dict[int, str] = {}  # message ids that are owed an answer, and their core names
         self.used = self.began = time.monotonic()
@@ -59,8 +68,13 @@
         self.bad = 0  # of them, answered with an error by the front
         self.partial_since = 0.0  # when the message that is not whole yet began; 0: there is none
         self.told_last = 0.0  # when `lastCall` was sent; 0: not yet
-        self.ending = False  # its reader is to end it
-        self.ended = False  # nothing more comes in
+        self.ended = False  # nothing more is read; it goes once nothing is owed on it
+        self.step = Step.SERVED  # how far its end has come in a drain
+
+    @property
+    def facts(self) -> Facts:
+        """What is known of it at its end."""
+        return Facts(len(self.open), self.outbox.backlog, 0 if self.ended else unread_bytes(self.sock))
 
     def answer(self, number: int, error: Any, result: Any) -> None:
         """Send one answer; the connection ends once its caller has left and nothing is owed."""
@@ -72,14 +86,6 @@
         if done:
             self.outbox.close()
 
-    def close_idle(self) -> None:
-        """Let the reader end the connection, once it has read what has come in by now.
-
-        It was closed here at once before: on a busy core, requests that lay unread were lost with it.
-        """
-        self.ending = True
-        self.stop_reading()
-
     def last_call(self, now: float) -> None:
         """Tell the caller to send nothing more here."""
         with self.lock:
@@ -88,11 +94,6 @@
             self.told_last = now
         self.outbox.send(msgpack.pack([NOTICE, "lastCall", []]))
 
-    def stop_reading(self) -> None:
-        """Read nothing more; what is open is still answered, then the connection ends."""
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RD)
-
     def idle_for(self, now: float) -> float:
         """Return for how long nothing has been open here."""
         with self.lock:
@@ -122,9 +123,14 @@
 
 
 class PlatformFront:
-    """Listens for callers. It holds `most` connections, and backlogs of so many bytes in total."""
+    """Listens for callers. It holds `most` connections, and backlogs of so many bytes in total.
+
+    One thread, the poller, accepts, reads, and looks after connections. What it reads goes to the owner's
+    queue, and nothing that it does waits for anything.
+    """
 
-    def __init__(self, core: Core, address: Address, tenant: str, most: int, backlog_bytes: int) -> None:
+    def __init__(self, core: Core, address: Address, tenant: str, most: int, backlog_bytes: int,
+                 late: Callable[[float], None] = lambda late_s: None) -> None:
         self._most = most
         self._budget = Budget(backlog_bytes)
         self._door_behind_us = DOOR_BEHIND_US + max(kind.deadline_us for kind in core.settings.classes)
@@ -133,40 +139,89 @@
         self._kinds = {name: number for number, name in enumerate(core.class_names)}
         self._connections: dict[socket.socket, Connection] = {}
         self._lock = threading.Lock()
-        self._closed = False
-        self._listener = Listener("platform", address, core.counters, self._serve, self._admit)
+        self._resting = False  # no descriptor was left for a new connection
+        self._refuses = False  # what is read is refused at once
+        self._poller = Poller("platform-poller", core.counters, late)
+        self._listener = Listener("platform", address, core.counters, admit=self._admit)
+        self._poller.watch(self._listener.sock, self._accept)
+        self._poller.every(SWEEP_S, self._sweep)
+        self._endings = Endings(self._poller, self)
         self.address = self._listener.address
 
     def start(self) -> None:
         """Start to listen."""
-        self._listener.start()
-        spawn("platform-sweeper", self._sweep)
+        self._poller.start()
 
-    def stop_listening(self) -> None:
-        """Accept no more connections, and tell callers to send nothing more on those that are open."""
-        self._listener.stop()
-        for connection in self._all():
-            connection.last_call(time.monotonic())
+    def drain(self, plan: Stages) -> None:
+        """End by this plan, which may come again with earlier times."""
+        self._endings.follow(plan)
+
+    def owed(self) -> tuple[Facts, float] | None:
+        """Return what was owed on all connections together at the last look, and when that was."""
+        return self._endings.owed
 
     def close(self) -> None:
         """End everything at once."""
-        self._closed = True
-        self._listener.stop()
+        self._poller.call(self._close)
+
+    def _close(self) -> None:
         for connection in self._all():
             connection.outbox.close()
+            self._release(connection)
+        self.stop_listening()
+        self._poller.close()
 
     def open_connections(self) -> int:
         """Count the connections of callers."""
-        return len(self._all())
-
-    def flush(self, until: float) -> bool:
-        """Wait until all answers are on their way, or until this time of the monotonic clock."""
-        return sum(not connection.outbox.flush(until) for connection in self._all()) == 0
+        return len(self._connections)
 
     def _all(self) -> list[Connection]:
         with self._lock:
             return list(self._connections.values())
 
+    # At the end, called by the poller's thread
+
+    def stop_listening(self) -> None:
+        """Accept what has connected by now, then nothing more."""
+        if self._listener.sock.fileno() >= 0:
+            while self._accept():
+                pass
+            self._poller.forget(self._listener.sock)
+            self._listener.stop()
+
+    def ending(self) -> list[Connection]:
+        """Return the connections that are to be brought to their end."""
+        return self._all()
+
+    def refuse(self) -> None:
+        """Refuse from now on whatever is read."""
+        self._refuses = True
+
+    def read_out(self, connection: Connection) -> None:
+        """Read what has come in on a connection, all of it."""
+        while self._read(connection):
+            pass
+
+    # Accepting
+
+    def _accept(self) -> bool:
+        """Take connections; False where none waits."""
+        for _ in range(MOST_ACCEPTED):
+            try:
+                taken = self._listener.take()
+            except BlockingIOError:
+                return False
+            except Exhausted:
+                self._poller.forget(self._listener.sock)  # until the next sweep; callers wait in the backlog
+                self._resting = True
+                return False
+            if taken is not None:
+                sock, peer = taken
+                connection = self._connections[sock]
+                connection.peer = peer
+                self._poller.watch(sock, partial(self._read, connection))
+        return True
+
     def _admit(self, sock: socket.socket) -> bool:
         """Take a new connection, and make room for it where the table is full."""
         count = len(self._connections)
@@ -184,69 +239,113 @@
         # who has never asked anything goes first, then who was used once, then who is idle for longest
         going = [(min(connection.heard, 2), connection.used, number, connection) for number, connection
                  in enumerate(self._all()) if not connection.open and not connection.partial_since
-                 and now - connection.used > FRESH_S and not connection.ending]
+                 and now - connection.used > FRESH_S and not connection.ended]
         going = heapq.nsmallest(max(self._most // ROOM_PART, 1), going)
         for *_, connection in going:
             self._core.counters.add("platform.closed_for_room")
             connection.last_call(now)
-            connection.close_idle()
+            self._close_idle(connection)
         if going:
             self._core.counters.warn(
                 "platform.full", "platform: {} connections are open: idle ones are closed for new ones",
                 self._most)
         return bool(going)
 
-    def _serve(self, sock: socket.socket, peer: Address) -> None:
-        connection, decoder = self._connections[sock], msgpack.Decoder(MOST_FRAME)
+    # Reading
+
+    def _read(self, connection: Connection) -> bool:
+        """Take what has come in, a piece at most; False where nothing more is there or ever comes."""
+        if connection.ended:
+            return False
         try:
-            while data := sock.recv(1 << 14):
-                for message in decoder.feed(data):
-                    connection.partial_since = 0.0
-                    self._take(connection, message)
-                if not decoder.partial:
-                    connection.partial_since = 0.0
-                elif not connection.partial_since:
-                    connection.partial_since = time.monotonic()
+            data = connection.sock.recv(READ_BYTES, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            self._lose(connection)
+            return False
+        if not data:
             self._end(connection)
+            return False
+        try:
+            for message in connection.decoder.feed(data):
+                connection.partial_since = 0.0
+                self._take(connection, message)
         except Enough:
             self._core.counters.warn("platform.closed_bad",
-                                     "platform: {}:{} is read no further after {} bad requests", *peer,
-                                     connection.bad)
-            connection.stop_reading()
+                                     "platform: {}:{} is read no further after {} bad requests",
+                                     *connection.peer, connection.bad)
             self._end(connection)
+            return False
         except msgpack.Malformed as error:
             self._core.counters.warn("platform.malformed", "platform: {}:{} closed for a malformed frame: {}",
-                                     *peer, error)
-            self._lose(connection)
-        except OSError:
-            self._lose(connection)
-        finally:
-            connection.outbox.release()
-            with self._lock:
-                self._connections.pop(sock, None)
+                                     *connection.peer, error)
+            self._fail_open(connection)
+            return False
+        if not connection.decoder.partial:
+            connection.partial_since = 0.0
+        elif not connection.partial_since:
+            connection.partial_since = time.monotonic()
+        return True
 
     def _end(self, connection: Connection) -> None:
-        """The caller sends nothing more; what is open is still answered."""
+        """Nothing more is read; what is open is still answered."""
+        self._poller.forget(connection.sock)
         with connection.lock:
             connection.ended = True
-        while connection.open and not connection.outbox.closed:
-            time.sleep(SWEEP_S)
+            owed = bool(connection.open)
+        if not owed:
+            self._release(connection)
 
     def _lose(self, connection: Connection) -> None:
         """Nothing can be answered here any more."""
         with connection.lock:
             calls = tuple(name for name in connection.open.values() if name)
+        self._release(connection)
         if calls:
             self._core.post(Left(calls))
 
+    def _fail_open(self, connection: Connection) -> None:
+        """Answer what is open with an error, then end: who sends such bytes must still not lose an answer.
+
+        They were dropped without one. Served they must not be, since nothing tells any more which request
+        an answer would be taken for.
+        """
+        with connection.lock:
+            calls = dict(connection.open)
+        for number in calls:
+            connection.answer(number, ["Bad", self._fields(self._core.told.feedback)], None)
+        connection.outbox.shut()
+        self._release(connection)
+        if calls:
+            self._core.post(Left(tuple(calls.values())))
+
+    def _release(self, connection: Connection) -> None:
+        """Let go of a connection."""
+        self._poller.forget(connection.sock)
+        with self._lock:
+            self._connections.pop(connection.sock, None)
+        connection.ended = True
+        connection.outbox.release()
+
+    def _close_idle(self, connection: Connection) -> None:
+        """End a connection that carries nothing, once what has come in by now is read.
+
+        It was closed at once before: on a busy core, requests that lay unread were lost with it.
+        """
+        self.read_out(connection)
+        if not connection.open and not connection.ended and not connection.outbox.backlog:
+            self._release(connection)
+
     def _take(self, connection: Connection, message: Any) -> None:
         """Take one message of a caller."""
         match message:
             case [0, int(number), str(method), list(params)] if (
-                    not isinstance(number, bool) and 0 <= number < 1 << 32 and number not in connection.open):
-                pass
+                    not isinstance(number, bool) and 0 <= number < 1 << 32):
+                if number in connection.open:
+                    raise msgpack.Malformed(f"the id {number} is open already")
             case _:
-                raise msgpack.Malformed("not a request of MessagePack-RPC, or its id is open already")
+                raise msgpack.Malformed("not a request of MessagePack-RPC")
         told = self._core.told
         connection.heard += 1
         with connection.lock:
@@ -255,6 +354,13 @@
             self._core.counters.add("health.asked")
             connection.answer(number, None, [told.healthy, self._fields(told.feedback)])
             return
+        if self._refuses:
+            self._core.counters.add("drain.refused_at_the_door")
+            fields = self._fields(told.feedback)
+            if self._core.settings.retry_after_us:
+                fields["later"] = str(min(LATER_MS, self._core.settings.retry_after_us // 1000))
+            connection.answer(number, ["Full", fields], None)
+            return
         try:
             request = self._request(connection, number, method, params)
         except BadRequest as error:
@@ -320,13 +426,15 @@
             connection.answer(number, ["Error", fields], None)
 
     def _sweep(self) -> None:
-        """Look after connections that are silent, half asked or idle."""
-        while not self._closed:
-            time.sleep(SWEEP_S)
-            now, connections = time.monotonic(), self._all()
-            once_s, idle_s, leave_s = self._idle_limits(len(connections))
-            for connection in connections:
-                self._look_at(connection, now, once_s if connection.heard == 1 else idle_s, leave_s)
+        """Look after connections that are silent, half asked, idle, or at their end."""
+        if self._resting:
+            self._resting = False
+            if self._listener.sock.fileno() >= 0:
+                self._poller.watch(self._listener.sock, self._accept)
+        now, connections = time.monotonic(), self._all()
+        once_s, idle_s, leave_s = self._idle_limits(len(connections))
+        for connection in connections:
+            self._look_at(connection, now, once_s if connection.heard == 1 else idle_s, leave_s)
 
     def _idle_limits(self, count: int) -> tuple[float, float, float]:
         """Return how long one used once may be idle, any other may be, and may stay after `lastCall`."""
@@ -341,17 +449,18 @@
 
     def _look_at(self, connection: Connection, now: float, limit_s: float, leave_s: float) -> None:
         """Close one connection if it is time: `lastCall` first, and never with open requests."""
-        if connection.ending:
+        if connection.ended:
+            if not connection.open and not connection.outbox.backlog or connection.outbox.closed:
+                self._release(connection)
             return
         idle = connection.idle_for(now)
         begun = connection.partial_since
         if begun and now - begun > FRAME_S:
             self._core.counters.add("platform.closed_partial")
-            connection.partial_since = 0.0
-            connection.stop_reading()
+            self._end(connection)
         elif connection.told_last:
             if idle and now - connection.told_last > (leave_s if connection.heard else SILENT_LEAVE_S):
-                connection.close_idle()
+                self._close_idle(connection)
         elif not connection.heard and idle > SILENT_S:
             self._core.counters.add("platform.closed_silent")
             connection.last_call(now)
--- a/reelusher/interface.py
+++ b/reelusher/interface.py
@@ -176,9 +176,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Drain:
-    """This worker leaves: its process is stopped after `left_us`."""
+    """This worker leaves: its process is stopped after `left_us`. One that comes again may be shorter."""
 
     left_us: int
+    since_us: int = 0  # how long ago it was told so: the grace counts from there
 
 
 @dataclass(slots=True, frozen=True)
--- a/reelusher/net.py
+++ b/reelusher/net.py
@@ -22,7 +22,7 @@
 Address = tuple[str, int]
 
 
-def spawn(name: str, work: Callable[[], None]) -> threading.Thread:
+def spawn(name: str, work: Callable[[], object]) -> threading.Thread:
     """Start a thread with a small stack."""
     threading.stack_size(STACK_BYTES)
     thread = threading.Thread(target=work, name=name, daemon=True)
@@ -75,8 +75,14 @@
         self._size = 0
         self._changed = threading.Condition()
         self._writer = False
+        self._released = False
         self.closed = False
 
+    @property
+    def backlog(self) -> int:
+        """Bytes that the socket has not taken yet."""
+        return self._size
+
     def send(self, data: bytes) -> bool:
         """Send, or queue what can't be sent now; False where the connection is lost."""
         with self._changed:
@@ -108,6 +114,8 @@
                 if self.closed or not self._waiting:
                     self._writer = False
                     self._changed.notify_all()
+                    if self._released:
+                        self._sock.close()
                     return
                 data = self._waiting.popleft()
             try:
@@ -141,32 +149,50 @@
         self._size -= size
         self._budget.give(size)
 
+    def shut(self) -> bool:
+        """Send nothing more, and tell the other side, which may go on; False while something waits."""
+        with self._changed:
+            if self._writer or self._waiting:
+                return False
+            if not self.closed:
+                self.closed = True
+                with contextlib.suppress(OSError):
+                    self._sock.shutdown(socket.SHUT_WR)
+            return True
+
     def release(self) -> None:
-        """Close the socket once no writer uses it; called by the reader, last."""
-        self.close()
+        """Close the socket, or have the writer do so that still uses it; called by the reader, last."""
         with self._changed:
-            while self._writer:
-                self._changed.wait(1.0)
-        self._sock.close()
+            self._close()
+            self._released = True
+            if not self._writer:
+                self._sock.close()
+
+
+class Exhausted(OSError):
+    """There is no descriptor or memory for another connection; callers wait in the backlog meanwhile."""
 
 
 class Listener:
-    """Accepts connections on one address, each with a thread of its own."""
+    """Accepts connections on one address: each with a thread of its own, or one by one for a poller."""
 
     def __init__(self, name: str, address: Address, counters: Counters,
-                 serve: Callable[[socket.socket, Address], None],
+                 serve: Callable[[socket.socket, Address], None] | None = None,
                  admit: Callable[[socket.socket], bool] = lambda sock: True) -> None:
-        """`admit` is asked by the accepting thread; what it turns away is closed before a thread is spent."""
+        """`admit` is asked by the accepting thread; what it turns away is closed before a thread is spent.
+
+        Without `serve` there is no thread: whoever polls `sock` calls `take`.
+        """
         self._name = name
         self._admit = admit
         self._counters = counters
         self._serve = serve
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.bind(address)
-        self._sock.listen(BACKLOG)
-        self._sock.settimeout(LOOK_S)
-        self.address: Address = self._sock.getsockname()
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(address)
+        self.sock.listen(BACKLOG)
+        self.sock.settimeout(LOOK_S if serve else 0.0)
+        self.address: Address = self.sock.getsockname()
         self._open = True
         self._thread: threading.Thread | None = None
 
@@ -178,36 +204,52 @@
         """Accept no more, after all that callers have connected by now: what they sent there must be read."""
         self._open = False
         if self._thread is None:
-            self._sock.close()
+            self.sock.close()
         elif self._thread is not threading.current_thread():
             self._thread.join(4 * LOOK_S)
 
+    def take(self) -> tuple[socket.socket, Address] | None:
+        """Accept one connection; None where it failed or was turned away.
+
+        Raises BlockingIOError or TimeoutError where none waits, and `Exhausted`.
+        """
+        try:
+            sock, peer = self.sock.accept()
+        except (BlockingIOError, TimeoutError):
+            raise
+        except OSError as error:
+            self._counters.add(f"{self._name}.accept_failed")
+            if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                self._counters.warn(f"{self._name}.accept_rested",
+                                    "{}: out of descriptors or memory, accepting rests", self._name)
+                raise Exhausted(*error.args) from None
+            return None
+        if not self._admit(sock):
+            self._counters.add(f"{self._name}.turned_away")
+            sock.close()
+            return None
+        self._counters.add(f"{self._name}.accepted")
+        with contextlib.suppress(OSError):  # gone already: its reader will see that
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock, peer
+
     def _accept(self) -> None:
+        assert self._serve is not None
         while True:
             try:
-                sock, peer = self._sock.accept()
+                taken = self.take()
             except TimeoutError:
                 if not self._open:
                     break
                 continue
-            except OSError as error:
-                if not self._open:
-                    break
-                self._counters.add(f"{self._name}.accept_failed")
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    self._counters.warn(f"{self._name}.accept_rested",
-                                        "{}: out of descriptors or memory, accepting rests", self._name)
-                    time.sleep(FULL_WAIT_S)  # callers wait in the backlog meanwhile
+            except Exhausted:
+                time.sleep(FULL_WAIT_S)
                 continue
-            if not self._admit(sock):
-                self._counters.add(f"{self._name}.turned_away")
-                sock.close()
+            if taken is None:
                 continue
-            self._counters.add(f"{self._name}.accepted")
             try:
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                spawn(f"{self._name}-reader", partial(self._serve, sock, peer))
-            except (OSError, RuntimeError) as error:
+                spawn(f"{self._name}-reader", partial(self._serve, *taken))
+            except RuntimeError as error:
                 logger.error("{}: no thread for a connection: {}", self._name, error)
-                sock.close()
-        self._sock.close()
+                taken[0].close()
+        self.sock.close()
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -24,13 +24,13 @@
 from reelusher.core.counters import Counters
 from reelusher.core.model import DrainOrder, Message, Runner
 from reelusher.core.owner import Core
+from reelusher.drain.leave import Drained, lead
+from reelusher.drain.plan import Pace
+from reelusher.drain.signals import SignalWatch
 from reelusher.fronts.ajp import AjpFront
 from reelusher.fronts.platform import PlatformFront
 from reelusher.net import spawn
 
-EXIT_S = 0.25  # before the stop: the process ends by then whatever is left
-CROSSING_S = 0.2  # after `lastCall`, for requests that cross it
-LOOK_S = 0.02
 SWITCH_S = 0.001  # a thread that waits for the interpreter gets it within this
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 RESULTS_PART = 0.25  # part of the node's memory that kept results may take
@@ -39,7 +39,7 @@
 LEAST_CONNECTIONS = 16  # that fronts get however few descriptors there are
 
 
-class Front(Protocol):
+class Front(Drained, Protocol):
     """What every front can do."""
 
     address: tuple[str, int]
@@ -47,18 +47,9 @@
     def start(self) -> None:
         """Start to listen."""
 
-    def stop_listening(self) -> None:
-        """Accept nothing new, and tell callers to send nothing more."""
-
     def close(self) -> None:
         """End everything at once."""
 
-    def open_connections(self) -> int:
-        """Count the connections."""
-
-    def flush(self, until: float) -> bool:
-        """Wait until all that is answered is sent, or until this time of the monotonic clock."""
-
 
 class Node:
     """One booking node, embeddable: `start` it, wait for `asked_to_leave`, then `leave`."""
@@ -66,6 +57,9 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self.asked_to_leave = threading.Event()
+        self._asked_s = 0.0  # when the drain was asked for at the earliest, by the monotonic clock
+        self._reload = threading.Lock()  # held while files are read
+        self._pace = Pace()  # of the fronts' poller
         self.counters, self._clock = Counters(), Clock()
         self._began = time.monotonic()
         self.fronts: dict[str, Front] = {}
@@ -86,7 +80,8 @@
         if told:
             self.fronts["platform"] = PlatformFront(
                 self.core, told.listen, PLATFORM_TENANT, self._most_connections() - self._most_ajp(),
-                int(config.memory_mb * BACKLOGS_PART * (1 << 20)))
+                int(config.memory_mb * BACKLOGS_PART * (1 << 20)),
+                lambda late_s: self._pace.note(late_s, time.monotonic()))
         self.admin: AdminApi | None = None
         if own:
             self._set_up(own)
@@ -144,23 +139,32 @@
         return {"name": self.config.name, "healthy": self.core.told.healthy,
                 "draining": self.core.told.draining, "uptime_s": round(time.monotonic() - self._began, 1),
                 "runtime": None if self.runtime is None else "up" if self.runtime.up else "down",
-                "requests_in_hand": len(self.core.attempts), "unanswered": self.core.attempts.unanswered(),
+                "requests_in_hand": len(self.core.attempts), "unanswered": self.core.attempts.owed,
                 "keys": len(self.core.keys), "fronts": {name: front.open_connections()
                                                         for name, front in self.fronts.items()},
                 "decisions": self.core.decisions()}
 
-    def ask_to_leave(self) -> bool:
-        """Ask for a drain, from any thread; False where one was asked for before."""
+    def ask_to_leave(self, asked_s: float | None = None) -> bool:
+        """Ask for a drain, from any thread; False where one was asked for before.
+
+        `asked_s` is when that was at the earliest, by the monotonic clock: its time counts from there.
+        """
         if self.asked_to_leave.is_set():
             return False
+        self._asked_s = time.monotonic() if asked_s is None else asked_s
         self.asked_to_leave.set()
         return True
 
     def reload(self, read: Callable[[], Config] = load) -> bool:
         """Take up the addresses of a new configuration; False where it can't be used and the old one stands.
 
-        Requests in hand and runs go on. Whatever else the new one says counts from the next start.
+        Requests in hand and runs go on. Whatever else the new one says counts from the next start. Of two
+        at once the second waits for the first and then reads what is there by then.
         """
+        with self._reload:
+            return self._take_up(read)
+
+    def _take_up(self, read: Callable[[], Config]) -> bool:
         try:
             config = read()
         except ConfigError as error:  # half written, or wrong: never a reason to end
@@ -192,28 +196,23 @@
 
     def leave(self) -> bool:
         """Drain: serve on for the grace, answer all that is read, then return; False if time ran out."""
-        began = time.monotonic()
-        stop_s = self.config.stop_ms / 1000
-        end = began + stop_s - EXIT_S
-        self.core.post(DrainOrder(self.config.stop_ms * 1000))
+        self.ask_to_leave()
+        logger.info("leaving: to be stopped in {} ms", self.config.stop_ms)
         if self.catalog:
             self.catalog.stop()
-        logger.info("leaving: to be stopped in {} ms", self.config.stop_ms)
-        # callers hear late that this node leaves; what comes till then is still run
-        time.sleep(max(0.0, min(self.config.settings.grace_us / 1e6, stop_s / 2)))
-        for front in self.fronts.values():
-            front.stop_listening()
-        quiet = time.monotonic() + CROSSING_S
-        while time.monotonic() < end:
-            if self._unanswered() or not all(self._flushed(time.monotonic())):
-                quiet = max(quiet, time.monotonic() + LOOK_S)
-            elif time.monotonic() > quiet:
-                break
-            time.sleep(LOOK_S)
-        flushed, left = all(self._flushed(end)), self._unanswered()
-        logger.info("left after {:.0f} ms, {} unanswered", (time.monotonic() - began) * 1000, left)
+        lead(self.fronts.values(), self._order, self._late_s, self._asked_s, self.config.stop_ms / 1000,
+             self.config.settings.grace_us / 1e6)
+        left = self.core.attempts.owed
+        logger.info("left after {:.0f} ms, {} unanswered", (time.monotonic() - self._asked_s) * 1000, left)
         logger.info("counters: {}", self.counters.snapshot())
-        return flushed and not left
+        return not left
+
+    def _order(self, left_s: float, since_s: float) -> None:
+        self.core.post(DrainOrder(max(0, int(left_s * 1e6)), int(since_s * 1e6)))
+
+    def _late_s(self) -> float:
+        """Return by how many seconds this process is late at present: its poller or its owner."""
+        return max(self._pace.late_s(time.monotonic()), self.core.late_s())
 
     def close(self) -> None:
         """Take everything down at once; `leave` comes first where answers are owed."""
@@ -230,13 +229,6 @@
         self._pool.executor.shutdown(wait=False, cancel_futures=True)
         self.core.stop()
 
-    def _unanswered(self) -> int:
-        count: int = self.core.ask(self.core.attempts.unanswered)
-        return count
-
-    def _flushed(self, until: float) -> list[bool]:
-        return [front.flush(until) for front in self.fronts.values()]
-
 
 def set_up_log() -> None:
     """Write log lines to standard error, faults in threads among them."""
@@ -249,12 +241,17 @@
 
 
 def heed_signals(node: Node) -> None:
-    """Wait for signals, in a thread of its own, while the node serves and while it drains."""
+    """Wait for signals, in a thread of its own, while the node serves and while it drains.
+
+    A reload has a thread too: a file that can't be read at once must not hold up the drain behind it.
+    """
+    watch = SignalWatch(SIGNALS)
     while True:
-        if signal.sigwait(SIGNALS) is signal.SIGHUP:
-            node.reload()
+        came, since_s = watch.next()
+        if came is signal.SIGHUP:
+            spawn("reload", node.reload)
         else:
-            node.ask_to_leave()
+            node.ask_to_leave(since_s)
 
 
 def main() -> int:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -84,7 +84,7 @@
         def __getattr__(self, name: str) -> Any:
             return getattr(self.sock, name)
 
-    listener._sock = Short(listener._sock)  # type: ignore[assignment]
+    listener.sock = Short(listener.sock)  # type: ignore[assignment]
     listener.start()
     with socket.create_connection(listener.address):
         until = time.monotonic() + 10
@@ -331,11 +331,10 @@
     front = PlatformFront(Core(settings(), [], 1, Backend()), ("127.0.0.1", 0), "t", 8, 1 << 20)
     with socket.create_server(("127.0.0.1", 0)) as listener:
         far = socket.create_connection(listener.getsockname(), 10)
-        near, peer = listener.accept()
+        near, _ = listener.accept()
     assert front._admit(near)
     far.sendall(msgpack.pack([0, 1, "health", [{}]]))
-    front._connections[near].close_idle()
-    front._serve(near, peer)  # the reader gets its turn only now
+    front._close_idle(front._connections[near])  # before the poller has had its turn
     assert list(msgpack.Decoder().feed(far.recv(100))) == [[1, 1, None, [True, {}]]]
     assert far.recv(100) == b"" and front.open_connections() == 0
     far.close()
