--- a/reelusher/core/model.py
+++ b/reelusher/core/model.py
@@ -150,8 +150,8 @@
 class DrainOrder:
     """The node is told to leave. A second order may only bring the stop forward."""
 
-    left_us: int
-    since_us: int = 0  # how long ago it was told so
+    stop_us: int  # when the process is stopped, by the node's clock
+    told_us: int  # when it was told so, at the earliest
 
 
 @dataclass(slots=True, frozen=True)
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -287,15 +287,14 @@
                 self._run_over(RunOver(attempt.request.call, io.Outcome.ERROR))
 
     def _drain(self, message: DrainOrder) -> None:
-        stop_us = self.now + message.left_us
-        if self.stop_us is not None and stop_us >= self.stop_us:
+        if self.stop_us is not None and message.stop_us >= self.stop_us:
             return
         if self._grace_end_us is None:
-            self._grace_end_us = self.now - message.since_us + self.settings.grace_us
-        self.stop_us, self.told.draining = stop_us, True
+            self._grace_end_us = message.told_us + self.settings.grace_us
+        self.stop_us, self.told.draining = message.stop_us, True
         for attempt in self.attempts:
             self._set_guard(attempt)
-        self._events.append(io.Drain(message.left_us, message.since_us))
+        self._events.append(io.Drain(max(0, message.stop_us - self.now), max(0, self.now - message.told_us)))
 
     def _ask(self, message: Ask) -> None:
         try:
--- a/reelusher/drain/ending.py
+++ b/reelusher/drain/ending.py
@@ -58,6 +58,9 @@
     def read_out(self, connection: C) -> None:
         """Read what has come in on a connection, all of it."""
 
+    def fail(self, connection: C) -> None:
+        """Answer what is still open with an error, whatever its run may come to."""
+
 
 def summed(facts: Iterable[Facts]) -> Facts:
     """Return what is owed on several connections together."""
@@ -87,7 +90,11 @@
         self._plan = plan
         if not self._started:
             self._started = True
-            self._poller.call(lambda: self._poller.every(LOOK_S, self._look))
+            self._poller.call(self._begin)
+
+    def _begin(self) -> None:
+        self._poller.every(LOOK_S, self._look)
+        self._look()
 
     def _look(self) -> None:
         plan, now = self._plan, time.monotonic()
@@ -109,11 +116,15 @@
 
     def _bring(self, connection: C, known: Facts, now: float, plan: Stages) -> None:
         """Take one connection as far as it goes now."""
+        if connection.step is Step.SERVED:
+            connection.step = next_step(connection.step, known, now, plan)
+            connection.last_call(now)
         if now >= plan.shut_s and known.unread:
             self._front.read_out(connection)
             known = connection.facts
+        if now >= plan.shut_s and known.open:  # the module's time is over; it, or its thread, came too late
+            self._front.fail(connection)
+            known = connection.facts
         step = next_step(connection.step, known, now, plan)
-        if step is Step.TOLD and connection.step is Step.SERVED:
-            connection.last_call(now)
         if step is not Step.SHUT or connection.step is Step.SHUT or connection.outbox.shut():
             connection.step = step
--- a/reelusher/drain/plan.py
+++ b/reelusher/drain/plan.py
@@ -9,7 +9,8 @@
 - from *tell* on nothing new is accepted and callers are told to send nothing more;
 - from *refuse* on what is read is refused where it is read: that costs least, and proves that nothing ran;
 - by *answer* the module has given its last answer;
-- from *shut* on each connection is read out, flushed and shut, cheapest first;
+- from *shut* on each connection is read out, flushed and shut, cheapest first; what still has no answer is
+  failed;
 - by *leave* the process ends.
 """
 
@@ -87,10 +88,11 @@
     `grace_s` is how long callers may not have heard of it; `late_s` how late this process is, see `Pace`.
     A span too short for all of it is shared out in the same proportions.
     """
-    late = min(max(late_s, 0.0), LAG_MOST_PART * span_s)
-    back = [LEAVE_S + late, SHUT_S + late, ANSWER_S, REFUSE_S + late]
-    shrink = min(1.0, TELL_PART * span_s / sum(back))
-    leave, shut, answer, refuse = (part * shrink for part in back)
+    room = TELL_PART * span_s - (LEAVE_S + SHUT_S + ANSWER_S + REFUSE_S)
+    late = max(0.0, min(late_s, LAG_MOST_PART * span_s, room / 3))
+    shrink = min(1.0, 1 + room / (TELL_PART * span_s - room))
+    leave, shut, answer, refuse = (part * shrink for part in (
+        LEAVE_S + late, SHUT_S + late, ANSWER_S, REFUSE_S + late))
     stop_s = signal_s + span_s
     leave_s = stop_s - leave
     shut_s = leave_s - shut
--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -63,6 +63,7 @@
         self.decoder = msgpack.Decoder(MOST_FRAME)
         self.lock = threading.Lock()
         self.open: dict[int, str] = {}  # message ids that are owed an answer, and their core names
+        self.sending = 0  # answers that are being sent
         self.used = self.began = time.monotonic()
         self.heard = 0  # whole messages read
         self.bad = 0  # of them, answered with an error by the front
@@ -74,17 +75,29 @@
     @property
     def facts(self) -> Facts:
         """What is known of it at its end."""
-        return Facts(len(self.open), self.outbox.backlog, 0 if self.ended else unread_bytes(self.sock))
+        return Facts(self.owed, self.outbox.backlog, 0 if self.ended else unread_bytes(self.sock))
+
+    @property
+    def owed(self) -> int:
+        """Requests that have not got their answer."""
+        return len(self.open) + self.sending
 
     def answer(self, number: int, error: Any, result: Any) -> None:
-        """Send one answer; the connection ends once its caller has left and nothing is owed."""
-        self.outbox.send(msgpack.pack([ANSWER, number, error, result]))
+        """Send the answer to what is open, once: the owner, and the poller at the end, may both have one."""
         with self.lock:
-            self.open.pop(number, None)
+            if number not in self.open:
+                return
+            # popped before it is sent, and still counted: or a look between the two would find nothing owed
+            self.sending += 1
+            del self.open[number]
+        self.say(number, error, result)
+        with self.lock:
+            self.sending -= 1
             self.used = time.monotonic()
-            done = self.ended and not self.open
-        if done:
-            self.outbox.close()
+
+    def say(self, number: int, error: Any, result: Any) -> None:
+        """Send the answer to what never was open."""
+        self.outbox.send(msgpack.pack([ANSWER, number, error, result]))
 
     def last_call(self, now: float) -> None:
         """Tell the caller to send nothing more here."""
@@ -97,7 +110,7 @@
     def idle_for(self, now: float) -> float:
         """Return for how long nothing has been open here."""
         with self.lock:
-            return 0.0 if self.open else now - self.used
+            return 0.0 if self.owed else now - self.used
 
 
 def number_of(fields: dict[Any, Any], name: str, least: float, most: float, default: float) -> float:
@@ -238,7 +251,7 @@
         now = time.monotonic()
         # who has never asked anything goes first, then who was used once, then who is idle for longest
         going = [(min(connection.heard, 2), connection.used, number, connection) for number, connection
-                 in enumerate(self._all()) if not connection.open and not connection.partial_since
+                 in enumerate(self._all()) if not connection.owed and not connection.partial_since
                  and now - connection.used > FRESH_S and not connection.ended]
         going = heapq.nsmallest(max(self._most // ROOM_PART, 1), going)
         for *_, connection in going:
@@ -293,7 +306,7 @@
         self._poller.forget(connection.sock)
         with connection.lock:
             connection.ended = True
-            owed = bool(connection.open)
+            owed = connection.owed
         if not owed:
             self._release(connection)
 
@@ -311,13 +324,18 @@
         They were dropped without one. Served they must not be, since nothing tells any more which request
         an answer would be taken for.
         """
+        self.fail(connection)
+        connection.outbox.shut()
+        self._release(connection)
+
+    def fail(self, connection: Connection) -> None:
+        """Answer what is still open with an error, whatever its run may come to."""
         with connection.lock:
             calls = dict(connection.open)
         for number in calls:
-            connection.answer(number, ["Bad", self._fields(self._core.told.feedback)], None)
-        connection.outbox.shut()
-        self._release(connection)
+            connection.answer(number, ["Error", self._fields(self._core.told.feedback)], None)
         if calls:
+            self._core.counters.add("platform.failed_at_the_end", len(calls))
             self._core.post(Left(tuple(calls.values())))
 
     def _release(self, connection: Connection) -> None:
@@ -334,7 +352,7 @@
         It was closed at once before: on a busy core, requests that lay unread were lost with it.
         """
         self.read_out(connection)
-        if not connection.open and not connection.ended and not connection.outbox.backlog:
+        if not connection.owed and not connection.ended and not connection.outbox.backlog:
             self._release(connection)
 
     def _take(self, connection: Connection, message: Any) -> None:
@@ -352,20 +370,20 @@
             connection.used = time.monotonic()
         if method == "health":
             self._core.counters.add("health.asked")
-            connection.answer(number, None, [told.healthy, self._fields(told.feedback)])
+            connection.say(number, None, [told.healthy, self._fields(told.feedback)])
             return
         if self._refuses:
             self._core.counters.add("drain.refused_at_the_door")
             fields = self._fields(told.feedback)
             if self._core.settings.retry_after_us:
                 fields["later"] = str(min(LATER_MS, self._core.settings.retry_after_us // 1000))
-            connection.answer(number, ["Full", fields], None)
+            connection.say(number, ["Full", fields], None)
             return
         try:
             request = self._request(connection, number, method, params)
         except BadRequest as error:
             self._core.counters.warn("requests.bad", "platform: request answered with an error: {}", error)
-            connection.answer(number, ["Bad", {**self._fields(told.feedback), "why": str(error)}], None)
+            connection.say(number, ["Bad", {**self._fields(told.feedback), "why": str(error)}], None)
             connection.bad += 1
             if connection.bad >= MOST_BAD:
                 raise Enough from None
@@ -450,7 +468,7 @@
     def _look_at(self, connection: Connection, now: float, limit_s: float, leave_s: float) -> None:
         """Close one connection if it is time: `lastCall` first, and never with open requests."""
         if connection.ended:
-            if not connection.open and not connection.outbox.backlog or connection.outbox.closed:
+            if not connection.owed and not connection.outbox.backlog or connection.outbox.closed:
                 self._release(connection)
             return
         idle = connection.idle_for(now)
--- a/reelusher/poller.py
+++ b/reelusher/poller.py
@@ -21,7 +21,7 @@
 from reelusher.core.counters import Counters
 from reelusher.net import spawn
 
-MOST_EVENTS = 128  # sockets read between two looks at the clock
+MOST_EVENTS = 128  # sockets that one look finds ready
 Work = Callable[[], object]
 
 
@@ -94,14 +94,17 @@
     def _run(self) -> None:
         while not self._closed:
             wait = max(0.0, self._timers[0][0] - time.monotonic()) if self._timers else None
-            for fd, _ in self._epoll.poll(wait, MOST_EVENTS):
+            found = self._epoll.poll(wait, MOST_EVENTS)
+            self._run_calls()  # what others ask for, and the clock, go before what has come in
+            self._run_due()
+            for fd, _ in found:
                 if fd == self._bell:
                     with contextlib.suppress(BlockingIOError):
                         os.eventfd_read(self._bell)
                 elif (ready := self._ready.get(fd)) is not None:
                     self._guarded(ready)
-            self._run_calls()
-            self._run_due()
+                if self._timers and self._timers[0][0] <= time.monotonic():
+                    break  # on a starved core a round took seconds; what is left out is told again
         self._release()
 
     def _run_calls(self) -> None:
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -208,7 +208,8 @@
         return not left
 
     def _order(self, left_s: float, since_s: float) -> None:
-        self.core.post(DrainOrder(max(0, int(left_s * 1e6)), int(since_s * 1e6)))
+        now_us = self._clock.now()
+        self.core.post(DrainOrder(now_us + int(left_s * 1e6), now_us - int(since_s * 1e6)))
 
     def _late_s(self) -> float:
         """Return by how many seconds this process is late at present: its poller or its owner."""
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,186 @@
+"""Leaving: the plan of a drain, the time of its signal, the end of connections, and a node on little CPU."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Collection
+from pathlib import Path
+
+import pytest
+import scenario
+import starved
+from hypothesis import given
+from hypothesis import strategies as st
+from test_core import World
+
+from reelusher.core.counters import Counters
+from reelusher.core.model import DrainOrder, Verdict
+from reelusher.drain.plan import Facts, Pace, Quiet, Stages, Step, cheapest_first, next_step, stages
+from reelusher.drain.signals import LOOK_S, SignalWatch
+from reelusher.net import Outbox
+from reelusher.poller import Poller
+
+ROOT = Path(__file__).parent.parent
+PLAN = Stages(0.0, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0)
+
+
+def times(plan: Stages) -> list[float]:
+    """Return the times of a plan in their order."""
+    return [plan.signal_s, plan.tell_s, plan.refuse_s, plan.answer_s, plan.shut_s, plan.leave_s, plan.stop_s]
+
+
+@given(st.floats(0, 1e6), st.floats(0.05, 60), st.floats(0, 20), st.floats(-1, 100), st.floats(0, 100))
+def test_the_stages_of_a_drain_come_in_order_and_never_later_on_a_later_process(
+        signal_s: float, span_s: float, grace_s: float, late_s: float, later_s: float) -> None:
+    plan = stages(signal_s, span_s, grace_s, late_s)
+    assert times(plan) == sorted(times(plan)) and plan.stop_s == signal_s + span_s
+    assert plan.leave_s < plan.stop_s or span_s < 1e-6 * signal_s
+    assert plan.tell_s - signal_s <= min(grace_s, span_s / 2) + 1e-6 * (1 + signal_s)
+    worse = stages(signal_s, span_s, grace_s, max(late_s, later_s))
+    assert all(a <= b + 1e-9 * (1 + signal_s) for a, b in zip(times(worse), times(plan), strict=True))
+    joined = worse.no_later_than(plan)
+    assert times(joined) == sorted(times(joined))
+    over = plan.over_at(plan.tell_s)
+    assert times(over) == sorted(times(over)) and over.leave_s <= plan.leave_s
+
+
+@pytest.mark.parametrize(("step", "facts", "now_s", "wanted"), [
+    (Step.SERVED, Facts(0, 0, 0), 0.5, Step.SERVED),
+    (Step.SERVED, Facts(3, 0, 0), 1.0, Step.TOLD),
+    (Step.TOLD, Facts(0, 0, 0), 3.9, Step.TOLD),  # a request may still cross what it was told
+    (Step.TOLD, Facts(0, 0, 0), 4.0, Step.SHUT),
+    (Step.TOLD, Facts(1, 0, 0), 4.5, Step.TOLD),
+    (Step.TOLD, Facts(0, 9, 0), 4.5, Step.TOLD),
+    (Step.TOLD, Facts(1, 9, 0), 5.0, Step.SHUT),  # no time is left for what is owed
+    (Step.TOLD, Facts(0, 0, 1), 5.0, Step.TOLD),  # never with bytes that nobody has read
+    (Step.SHUT, Facts(0, 0, 0), 4.9, Step.SHUT),
+    (Step.SHUT, Facts(0, 0, 0), 5.0, Step.ENDED)])
+def test_a_connection_is_shut_once_nothing_is_owed_on_it(step: Step, facts: Facts, now_s: float, wanted: Step
+                                                         ) -> None:
+    assert next_step(step, facts, now_s, PLAN) is wanted
+
+
+def test_what_costs_least_comes_first_when_time_is_short() -> None:
+    facts = [Facts(1, 5000, 0), Facts(0, 0, 900), Facts(2, 0, 0), Facts(0, 0, 0), Facts(0, 0, 40)]
+    assert [facts.index(one) for one in sorted(facts, key=cheapest_first)] == [3, 2, 4, 1, 0]
+
+
+def test_a_drain_ends_early_only_after_fresh_looks_found_nothing_for_the_time_of_a_crossing() -> None:
+    quiet, nothing = Quiet(), Facts(0, 0, 0)
+    assert not quiet.over([(nothing, 1.0)], 1.0, PLAN)
+    assert not quiet.over([(nothing, 1.1), (Facts(0, 0, 7), 1.1)], 1.1, PLAN)
+    assert not quiet.over([(nothing, 1.25)], 1.25, PLAN)
+    assert not quiet.over([(nothing, 1.25), None], 1.32, PLAN)  # a front that has not looked yet
+    assert not quiet.over([(nothing, 1.3)], 1.5, PLAN)  # who looks has not run since
+    assert not quiet.over([(nothing, 1.69)], 1.69, PLAN)
+    assert quiet.over([(nothing, 1.71)], 1.71, PLAN)
+
+
+def test_the_worst_lateness_fades() -> None:
+    pace = Pace()
+    pace.note(0.4, 10.0)
+    pace.note(0.01, 10.1)
+    assert 0.35 < pace.late_s(10.1) < 0.4 and pace.late_s(12.0) == pytest.approx(0.2)
+    assert pace.late_s(40.0) < 0.001
+
+
+def test_the_earliest_time_of_a_signal_is_proved_however_late_the_watch_runs() -> None:
+    """The kernel's waits end on time; the thread that waits gets its turn two seconds late."""
+    now, sent = 100.0, 103.4
+    told = iter((False, False, True))
+
+    def wait(wanted: Collection[signal.Signals], seconds: float) -> signal.struct_siginfo | None:
+        nonlocal now
+        assert (now + seconds <= sent) or now >= sent  # a wait that ends empty ended before the signal
+        now += 2.0
+        return signal.struct_siginfo((signal.SIGTERM, 0, 0, 0, 0, 0, 0)) if next(told) else None
+
+    came, earliest_s = SignalWatch([signal.SIGTERM], lambda: now, wait).next()
+    assert came is signal.SIGTERM and earliest_s == 102.0 + LOOK_S <= sent
+
+
+def test_the_grace_counts_from_the_signal_and_a_later_order_only_shortens() -> None:
+    world = World()
+    began = world.time
+    world.turn(DrainOrder(began + 4_000_000, began - 500_000))  # noticed half a second late; the grace is 2 s
+    world.turn(DrainOrder(began + 5_000_000, began - 500_000))
+    assert world.core.stop_us == began + 4_000_000
+    world.time += 1_490_000
+    world.turn(world.request("in time"))
+    world.time += 20_000
+    world.turn(world.request("after"))
+    assert ("start", "in time") in world.backend.said and world.verdicts("after") == [Verdict.REFUSED]
+    world.turn(DrainOrder(began + 3_000_000, began - 500_000))
+    assert world.core.stop_us == began + 3_000_000
+
+
+def test_an_outbox_is_shut_only_when_all_is_sent_and_is_closed_by_its_last_user() -> None:
+    near, far = socket.socketpair()
+    outbox = Outbox(near, limit=32 << 20)
+    outbox.send(b"x" * (8 << 20))
+    assert outbox.backlog and not outbox.shut()
+    got = 0
+    while got < 8 << 20:
+        got += len(far.recv(1 << 20))
+    until = time.monotonic() + 10
+    while not outbox.shut():
+        assert time.monotonic() < until
+        time.sleep(0.01)
+    assert far.recv(10) == b""
+    outbox.release()
+    far.close()
+
+
+def test_a_poller_looks_at_the_clock_however_much_comes_in() -> None:
+    """A round through all sockets took seconds on a starved core, and the stages of a drain came too late."""
+    poller, looks, pairs = Poller("test-poller", Counters()), list[float](), []
+    for _ in range(40):
+        near, far = socket.socketpair()
+        far.send(b"never read")
+        poller.watch(near, lambda: time.sleep(0.02))
+        pairs += [near, far]
+    poller.every(0.05, lambda: looks.append(time.monotonic()))
+    poller.start()
+    time.sleep(1.0)
+    poller.close()
+    gaps = [b - a for a, b in zip(looks, looks[1:], strict=False)]
+    assert len(looks) >= 4 and sorted(gaps)[len(gaps) // 2] < 0.4
+    for sock in pairs:
+        sock.close()
+
+
+def test_a_drain_begins_while_a_reload_waits_for_its_file(tmp_path: Path) -> None:
+    """One thread took all signals, so a file that could not be read held SIGTERM up until the kill."""
+    path = tmp_path / "config.json"
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        place = "{}:{}".format(*free.getsockname())
+    path.write_text(json.dumps({"name": "n1", "listen": place, "runtime": "127.0.0.1:1", "stop_ms": 2000,
+                                "settings": scenario.SETTINGS}))
+    process = subprocess.Popen([sys.executable, "-O", "-m", "reelusher"], cwd=ROOT,
+                               env={**os.environ, "PROXY_CONFIG": str(path)}, stderr=subprocess.PIPE)
+    try:
+        assert process.stderr is not None
+        while b"listens on" not in (line := process.stderr.readline()):
+            assert line, "it has ended"
+        path.unlink()
+        os.mkfifo(path)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(30) == 0
+    finally:
+        process.kill()
+
+
+@pytest.mark.parametrize("load", [
+    starved.Load(busy=9, rate=120.0, connects=0.0, seed=1),
+    starved.Load(busy=9, rate=40.0, connects=230.0, seed=2, hup_s=0.2)], ids=["callers", "connections"])
+def test_a_drain_on_a_tenth_of_a_core_keeps_the_rules(load: starved.Load) -> None:
+    tally = starved.play(load)
+    broken = tally.broken()
+    broken.pop("late", None)  # how late a starved node answers depends on the machine
+    assert broken == {} and tally["served"] > 0, f"{dict(tally)}\n{tally.log}"
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -460,6 +460,91 @@
         c1 expect * Error
         c1 expect * Error
         node expect left""",
+    "a drain whose owner is busy for a second": """
+        c1 send 1 slot-search
+        runtime expect start * as X
+        node send block owner 1.0
+        c2 send 1 health
+        c2 expect 1 ok True
+        node send term
+        wait 0.5  # past the grace; the owner does not know of the drain yet
+        c2 send 2 slot-search
+        runtime send end $X ok r
+        c1 expect lastCall
+        c1 expect 1 ok r
+        c2 expect lastCall
+        c2 expect 2 Full
+        node expect left""",
+    "a drain whose owner is busy beyond the stop: the front gives the answers that are owed": """
+        with stop_ms=1500
+        c1 send 1 slot-search
+        runtime expect start *
+        c2 send 1 book-visit key=K
+        runtime expect start *
+        node send block owner 3
+        c1 send 2 day-view
+        node send term
+        c1 expect lastCall
+        c1 expect * Error
+        c1 expect * Error
+        c2 expect lastCall
+        c2 expect 1 Error
+        node expect left late""",
+    "a drain with requests unread in buffers: they are refused, and none runs": """
+        with stop_ms=2000
+        c1 send 1 health
+        c1 expect 1 ok True
+        c2 send 1 health
+        c2 expect 1 ok True
+        node send block poller 1.5
+        node send term
+        c1 send 2 slot-search
+        c1 send 3 book-visit key=K
+        c2 send 2 day-view
+        c3 send 1 day-view
+        c1 expect lastCall
+        c1 expect 2 Full
+        c1 expect 3 Full
+        c2 expect lastCall
+        c2 expect 2 Full
+        c3 expect lastCall
+        c3 expect 1 Full
+        node expect left
+        node expect count drain.refused_at_the_door 4
+        runtime expect nothing""",
+    "a second order to drain, and a reload, change nothing about the first": """
+        c1 send 1 slot-search
+        runtime expect start * as X
+        node send term
+        admin send POST /v1/drain
+        admin expect 409
+        node send reload 2
+        c1 expect lastCall
+        runtime2 expect sync *
+        runtime2 send number 1
+        runtime2 send end $X ok r
+        c1 expect 1 ok r
+        node expect left""",
+    "who sends what can't be read still gets an answer to what is open": """
+        c1 send 1 slot-search
+        runtime expect start *
+        c2 send 1 slot-search
+        runtime expect start * as Y
+        c1 send raw c1
+        c1 expect 1 Error
+        c1 expect closed
+        runtime expect stop *
+        runtime send end $Y ok r
+        c2 expect 1 ok r""",
+    "an id that is open already ends the connection, after an answer to the first": """
+        c1 send 1 book-visit key=K
+        runtime expect start * as X
+        c1 send 1 slot-search
+        c1 expect 1 Error
+        c1 expect closed
+        runtime send end $X ok r
+        c2 send 1 book-visit key=K
+        c2 expect 1 ok r""",
     # AJP
     "CPing is answered, and the connection serves one request after another": """
         a1 send cping
