Shares between tenants: start-time fair queueing with guarantees, ceilings and max-min refusal

Need: beside a tenant that floods at 150 % a quiet one kept 58 % of its requests within the aim, at 400 % 25 %, with retries 3 to 10 %; nothing told the decision module whose a request is.

Change: reelusher/tenancy/shares.py keeps the standing of each tenant, free of I/O: dispatch tags of start-time fair queueing, clocks for guarantees and ceilings, weighted max-min allocation of what comes in, dynamic thresholds for memory, places lent while runs last long.

Not wired to the fronts yet.

--- a/reelusher/choice.py
+++ b/reelusher/choice.py
@@ -14,7 +14,8 @@
 
 from reelusher.interface import (
     Action, Advise, Call, CallEnded, CallNeeded, CloseIdle, Decline, Drain, Effect, Event, Fail, Forget,
-    Gone, Halt, Health, Join, Keep, Outcome, Pause, Request, Run, RunEnded, Say, Settings, Skip, Tick, Timer)
+    Gone, Halt, Health, Join, Keep, Outcome, Pause, Request, Run, RunEnded, Say, Settings, Skip, Standing,
+    Tick, Timer)
 
 PERIOD_US = 100_000  # of the one timer: loop, cap, sweep; an answer is at most this late for its margin
 MARGIN_US = 60_000  # answers are given this long, a period and two ticks before they are due
@@ -87,8 +88,9 @@
 class Controller:
     """Decides for one worker. It knows what its own events say and nothing else."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, standing: Standing | None = None) -> None:
         self.settings = settings
+        self.standing = standing  # of the tenants, where there are several
         self.random = random.Random(seed)
         self.now = self.began_us = self.last_us = -1
         self.out: list[Action] = []
@@ -162,6 +164,10 @@
             order = sorted(self.last_heard.items(), key=lambda item: item[1])
             self.last_heard = dict(order[CALLERS_MOST // 2:])
         self.kept = {key: end for key, end in self.kept.items() if end > self.now}
+        if self.standing:
+            self.standing.period(self.now)
+            for key in self.standing.expired(self.now):
+                self.standing.forgets(key, self.settings.entry_kb)
         self._sweep()
 
     def _sweep(self) -> None:
@@ -260,6 +266,10 @@
             self.out.append(Join(request.id))
         full = self._memory() + self.settings.entry_kb * keyed > MEMORY_HOLD * self.settings.memory_kb
         chance = self.refusal ** (max(work.kind.worth, self.lowest) / self.lowest)
+        if self.standing and not joined:
+            self.standing.arrived(request, self.now)
+            chance = self.standing.chance(request.tenant, chance)
+            full = full or self.standing.full(request, self.settings.entry_kb * keyed, keyed, self._memory())
         refused = self.late and request.retry or self.random.random() < chance
         if self._hopeless(work) or not joined and (full or refused or work.arrived_us > self.grace_us):
             self._answer(work)
@@ -267,6 +277,8 @@
             span = work.arrived_us + work.kind.window_us + self.settings.slack_us - self.now
             self.kept[request.id] = self.now + max(span, 1)
             self.out.append(Keep(request.id, max(span, 1)))
+            if self.standing:
+                self.standing.keeps(request, self.kept[request.id], self.settings.entry_kb)
 
     def _hopeless(self, work: Work) -> bool:
         """Tell whether a request must be answered now: due, or held with nothing left to gain."""
@@ -295,6 +307,8 @@
             self._move(work, None)
             if self.kept.pop(work.request.id, None) is not None:  # it never ran
                 self.out.append(Forget(work.request.id))
+                if self.standing:
+                    self.standing.forgets(work.request.id, self.settings.entry_kb)
         elif (work.state is State.RUNNING and self.settings.halt is not Halt.NONE
                 and work.kind.effect is Effect.SAFE):
             self.out.append(Pause(work.request.id))
@@ -312,6 +326,8 @@
             return
         state = work.state
         self._move(work, None)
+        if self.standing and work.ran:
+            self.standing.ended(work.request, event.took_us, self.now)
         if state is State.CALLING:  # its call is given up, but not yet out of the hands below
             self.lingering.append(self.now + self.settings.linger_us)
         if event.outcome is Outcome.OK and state is not State.JOINED:
@@ -331,6 +347,9 @@
             self.at[state][work.request.id] = work
             kb *= 1 if state in (State.HELD, State.JOINED) else self.settings.run_factor
         self.work_kb += kb - work.kb
+        if self.standing:
+            self.standing.memory(work.request, kb - work.kb)
+            self.standing.held(work.request, (state is State.HELD) - (work.state is State.HELD))
         work.state, work.kb = state, kb
 
     def _memory(self) -> float:
@@ -343,14 +362,22 @@
         if not held:
             return
         at_calls = len(self.at[State.AT_CALL]) + len(self.at[State.CALLING])
-        room = min(int(self.cap), int(self._ceiling()) - at_calls) - len(self.at[State.RUNNING])
-        if room <= 0:
+        most = int(self._ceiling()) - at_calls - len(self.at[State.RUNNING])
+        room = min(int(self.cap) - len(self.at[State.RUNNING]), most)
+        if room + (self.standing.lent() if self.standing else 0) <= 0 or most <= 0:
             return
         order = sorted(held.values(), key=lambda w: (not self._reachable(w), -w.kind.worth, w.aim_us))
-        for work in order[:room]:
+        for work in self.standing.order(order, self.now) if self.standing else order[:room]:
             extra = work.request.held_kb * (self.settings.run_factor - 1)
             if self._memory() + extra > MEMORY_RUN * self.settings.memory_kb:
                 break
+            if self.standing:
+                if room + self.standing.lent() <= 0 or most <= 0:
+                    break
+                if room + self.standing.lent(work.request.tenant) <= 0:
+                    continue
+                room, most = room - 1, most - 1
+                self.standing.started(work.request, self.now)
             self._move(work, State.RUNNING)
             work.ran = True
             self.out.append(Run(work.request.id))
--- a/reelusher/interface.py
+++ b/reelusher/interface.py
@@ -4,9 +4,10 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
+from typing import Protocol, TypeVar
 
 
 class Effect(Enum):
@@ -142,6 +143,15 @@
     retry: bool = False
 
 
+class HasRequest(Protocol):
+    """Whatever the module holds of a request."""
+
+    request: Request
+
+
+H = TypeVar("H", bound=HasRequest)
+
+
 @dataclass(slots=True, frozen=True)
 class Gone:
     """Nobody waits for this request any longer."""
@@ -287,6 +297,55 @@
     label: int
 
 
+class Standing(Protocol):
+    """How the tenants of a worker stand: an input of the module, told by who shares a node out among them.
+
+    Times are whole microseconds. Without it, and with one tenant, the module decides the same.
+    """
+
+    def arrived(self, request: Request, now_us: int) -> None:
+        """Count the work that a new request asks for."""
+
+    def full(self, request: Request, extra_kb: float, keyed: bool, used_kb: float) -> bool:
+        """Tell whether a bound of its tenant keeps a request out that would take so much memory."""
+
+    def chance(self, tenant: int, chance: float) -> float:
+        """Return the likelihood of a random refusal, where the module would have this one for all."""
+
+    def held(self, request: Request, change: int) -> None:
+        """Count a request that begins (1) or ends (-1) to be held."""
+
+    def memory(self, request: Request, change_kb: float) -> None:
+        """Count the memory that a request takes or gives back."""
+
+    def keeps(self, request: Request, until_us: int, entry_kb: float) -> None:
+        """Count a kept key."""
+
+    def forgets(self, number: int, entry_kb: float) -> None:
+        """Count a key no longer, of the request with this id."""
+
+    def started(self, request: Request, now_us: int) -> None:
+        """Count a run."""
+
+    def ended(self, request: Request, took_us: int, now_us: int) -> None:
+        """Count a run no longer."""
+
+    def lent(self, tenant: int | None = None) -> int:
+        """Return how many runs of other tenants last so long that their places are this one's to use.
+
+        Without a tenant, the most that any may use.
+        """
+
+    def order(self, held: Sequence[H], now_us: int) -> Iterable[H]:
+        """Yield what may run, in the order in which tenants are entitled to; `held` is in the module's."""
+
+    def period(self, now_us: int) -> None:
+        """Bring the standing up to date."""
+
+    def expired(self, now_us: int) -> Iterable[int]:
+        """Return the requests whose keys have run out."""
+
+
 Event = Request | Gone | CallNeeded | CallEnded | RunEnded | Drain | Tick
 Action = (
     Run | Pause | Call | Skip | Decline | Fail | Join | Keep | Forget | Health | Advise | CloseIdle | Timer
--- /dev/null
+++ b/reelusher/tenancy/shares.py
@@ -0,0 +1,362 @@
+"""What each tenant has used, and who is next: the standing that the decision module goes by. Free of I/O.
+
+The order is start-time fair queueing (Goyal, Vin and Cheng, SIGCOMM 1996) with tags given at dispatch, so
+that a flow is two numbers whatever it holds; guarantees and ceilings are clocks beside it, as in mClock
+(Gulati, Merchant and Varman, OSDI 2010). Work is core-microseconds: an estimate is charged when a run starts
+and corrected as it goes on and when it ends. Who is over its share is told by weighted max-min allocation of
+the work that comes in. docs/tenancy.md weighs the alternatives.
+"""
+
+import heapq
+import math
+from collections import deque
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from reelusher import interface as io
+from reelusher.tenancy.fairness import Claim, Gcra, allocate
+
+DEMAND_US = 1_000_000  # time constant of the mean work that comes in
+OVER = 1.05  # times its allocation that a tenant may ask for before it is over its share
+ADMIT = 1.25  # times its allocation that is let in of it: a queue that runs empty wastes its turn
+QUIET = 1e-3  # part of a core below which a tenant asks for nothing
+LONG_US = 1_000_000  # a run that lasts longer gives its place to other tenants
+LEARN = 0.1  # weight of the newest run in the mean work of its class
+FIRST_US = 10_000.0  # work of a run of which nothing is known
+FREE_PART = 2.0  # times the memory still free that one tenant may take (dynamic threshold)
+LAG_US = 200_000  # credit that a guarantee keeps: what was missed while no place was free, and no more
+
+
+@dataclass(slots=True, frozen=True)
+class Share:
+    """What a tenant is entitled to. Parts are of the node's capacity; a bound of 0 is none."""
+
+    weight: float = 1.0
+    guarantee: float = 0.0  # part that it gets before others get more by their weight
+    ceiling: float = 1.0  # part past which it gets nothing although cores are free; 1: none
+    burst_us: int = 200_000  # work at its ceiling that it may take at once
+    held: int = 0
+    running: int = 0
+    memory_kb: float = 0.0  # of held and running requests and kept keys
+    keys: int = 0
+    class_weights: Mapping[int, float] = field(default_factory=dict)  # by class; empty: the module's order
+
+    def __post_init__(self) -> None:
+        """Reject what no order can be made of."""
+        if not (0 < self.weight < math.inf and 0 <= self.guarantee <= 1 and 0 < self.ceiling <= 1):
+            raise ValueError("weight must be above 0, guarantee from 0 to 1, ceiling above 0 and at most 1")
+        if not all(0 < weight < math.inf for weight in self.class_weights.values()):
+            raise ValueError("class weights must be above 0")
+
+
+class _Means:
+    """Mean work of runs by class, and the mean hint of the same runs."""
+
+    def __init__(self) -> None:
+        self._work: dict[int, tuple[float, float]] = {}
+
+    def learn(self, kind: int, took_us: float, hint_us: int) -> None:
+        took, hint = self._work.get(kind, (took_us, float(hint_us)))
+        self._work[kind] = took + LEARN * (took_us - took), hint + LEARN * (hint_us - hint)
+
+    def estimate(self, kind: int, hint_us: int) -> float | None:
+        known = self._work.get(kind)
+        if known is None:
+            return None
+        took, hint = known
+        return took * hint_us / hint if hint_us and hint else took
+
+
+@dataclass(slots=True)
+class _Run:
+    """A run, and what has been charged for it."""
+
+    tenant: int
+    request: io.Request
+    since_us: int
+    charged_us: float
+
+
+class _Flow:
+    """One tenant."""
+
+    __slots__ = ("number", "share", "finish", "lanes", "reserve", "limit", "held", "running", "long", "kb",
+                 "keys", "floor_us", "demand", "demand_us", "excess", "means", "used_us", "turn")
+
+    def __init__(self, number: int, share: Share, cores: int, virtual: float) -> None:
+        self.number = number
+        self.finish = virtual  # finish tag of the last run that was started, in work over weight
+        self.lanes: dict[int, float] = {}  # the same by class, within the tenant
+        self.held = self.running = self.long = self.keys = 0
+        self.kb = 0.0
+        self.floor_us = 0.0  # all that runs has lasted so long by now
+        self.demand = 0.0  # mean work that comes in, in cores
+        self.demand_us = 0  # when that was brought up to date
+        self.excess = 0.0  # part of what comes in that is beyond its allocation
+        self.means = _Means()
+        self.used_us = 0.0  # work, since the tenant was added
+        self.turn = 0.0  # within the tenant: the virtual time of its classes
+        self.reserve: Gcra | None = None
+        self.limit: Gcra | None = None
+        self.entitle(share, cores, virtual)
+
+    def entitle(self, share: Share, cores: int, virtual: float) -> None:
+        """Take a share; what is owed stays the same in work, whatever the weight was before."""
+        before: Share | None = getattr(self, "share", None)
+        if before is not None:
+            self.finish = virtual + (self.finish - virtual) * before.weight / share.weight
+        self.share = share
+        self.reserve = self._clock(self.reserve, share.guarantee * cores, 0, LAG_US)
+        self.limit = self._clock(self.limit, share.ceiling * cores * (share.ceiling < 1), share.burst_us, 0)
+
+    @staticmethod
+    def _clock(known: Gcra | None, rate: float, burst_us: float, credit_us: float) -> Gcra | None:
+        return Gcra(rate, burst_us, credit_us, known.tat_us if known else 0.0) if rate > 0 else None
+
+    def decay(self, now_us: int) -> float:
+        """Bring the mean work that comes in up to date and return it."""
+        self.demand *= math.exp(-max(0, now_us - self.demand_us) / DEMAND_US)
+        self.demand_us = max(self.demand_us, now_us)
+        return self.demand
+
+    def charge(self, work_us: float, kind: int, now_us: int) -> None:
+        """Book work; negative where too much was booked."""
+        self.finish += work_us / self.share.weight
+        self.used_us += work_us
+        if kind in self.lanes:
+            self.lanes[kind] += work_us / self.share.class_weights.get(kind, 1.0)
+        for clock in (self.reserve, self.limit):
+            if clock is not None:
+                clock.charge(work_us, now_us)
+
+
+class Shares:
+    """The standing of all tenants, by number. One thread calls it: the one that owns the module.
+
+    A tenant that was never set has the standard share. With one tenant it changes nothing about what the
+    module decides.
+    """
+
+    def __init__(self, cores: int, memory_kb: float) -> None:
+        self._cores = cores
+        self._memory_kb = memory_kb
+        self._flows: dict[int, _Flow] = {}
+        self._asking: dict[int, _Flow] = {}  # those with work coming in lately
+        self._runs: dict[int, _Run] = {}  # by request
+        self._keys: dict[int, tuple[int, int]] = {}  # by request: tenant, and until when
+        self._ends: list[tuple[int, int]] = []  # until when, request
+        self._means = _Means()  # of all tenants
+        self._virtual = 0.0
+        self._long = 0
+        self._any_over = False
+
+    # Who there is
+
+    def entitle(self, tenant: int, share: Share) -> None:
+        """Add a tenant, or change its share from now on."""
+        flow = self._flows.get(tenant)
+        if flow is None:
+            self._flows[tenant] = _Flow(tenant, share, self._cores, self._virtual)
+        else:
+            flow.entitle(share, self._cores, self._virtual)
+
+    def drop(self, tenant: int) -> None:
+        """Forget a tenant; what runs of it still is told to end."""
+        self._flows.pop(tenant, None)
+        self._asking.pop(tenant, None)
+
+    def _flow(self, tenant: int) -> _Flow:
+        flow = self._flows.get(tenant)
+        if flow is None:
+            flow = self._flows[tenant] = _Flow(tenant, Share(), self._cores, self._virtual)
+        return flow
+
+    def usage(self, tenant: int, now_us: int) -> dict[str, float]:
+        """Return how a tenant stands: work in core-milliseconds, the rest as counts, parts and KB."""
+        flow = self._flow(tenant)
+        return {"held": flow.held, "running": flow.running, "keys": flow.keys,
+                "memory_kb": round(flow.kb, 1), "work_ms": round(flow.used_us / 1000, 1),
+                "demand": round(flow.decay(now_us) / self._cores, 4), "over_by": round(flow.excess, 4)}
+
+    # What the module asks and tells
+
+    def arrived(self, request: io.Request, now_us: int) -> None:
+        """Count the work that a request asks for, whatever becomes of it: retries press as much."""
+        flow = self._flow(request.tenant)
+        flow.decay(now_us)
+        flow.demand += self._estimate(flow, request) / DEMAND_US
+        self._asking[flow.number] = flow
+
+    def full(self, request: io.Request, extra_kb: float, keyed: bool, used_kb: float) -> bool:
+        """Tell whether a bound of its tenant keeps a request out.
+
+        Of the memory a tenant may take so many times what is still free (dynamic thresholds: Choudhury and
+        Hahne, IEEE/ACM Transactions on Networking 6(2), 1998). So whoever floods leaves room for others,
+        and one alone may have most of it.
+        """
+        flow = self._flow(request.tenant)
+        share = flow.share
+        if share.held and flow.held >= share.held or keyed and share.keys and flow.keys >= share.keys:
+            return True
+        if share.memory_kb and flow.kb + extra_kb > share.memory_kb:
+            return True
+        free_kb = max(0.0, self._memory_kb - used_kb)
+        return len(self._flows) > 1 and flow.kb + extra_kb > FREE_PART * free_kb
+
+    def chance(self, tenant: int, chance: float) -> float:
+        """Return the likelihood of a random refusal, where the module would have this one for all.
+
+        While some are over their share, they alone are refused, and no more of each than the part that it
+        asks for beyond its allocation.
+        """
+        if not self._any_over or len(self._asking) < 2:
+            return chance
+        return min(chance, self._flow(tenant).excess)
+
+    def held(self, request: io.Request, change: int) -> None:
+        """Count a request that begins (1) or ends (-1) to be held."""
+        self._flow(request.tenant).held += change
+
+    def memory(self, request: io.Request, change_kb: float) -> None:
+        """Count the memory that a request takes or gives back."""
+        self._flow(request.tenant).kb += change_kb
+
+    def keeps(self, request: io.Request, until_us: int, entry_kb: float) -> None:
+        """Count a kept key."""
+        if request.id not in self._keys:
+            flow = self._flow(request.tenant)
+            flow.keys += 1
+            flow.kb += entry_kb
+            self._keys[request.id] = request.tenant, until_us
+            heapq.heappush(self._ends, (until_us, request.id))
+
+    def forgets(self, number: int, entry_kb: float) -> None:
+        """Count a key no longer."""
+        known = self._keys.pop(number, None)
+        flow = self._flows.get(known[0]) if known else None
+        if flow is not None:
+            flow.keys -= 1
+            flow.kb -= entry_kb
+
+    def started(self, request: io.Request, now_us: int) -> None:
+        """Count a run, and charge what it is likely to take."""
+        flow = self._flow(request.tenant)
+        work = self._estimate(flow, request)
+        behind = flow.reserve is not None and flow.reserve.conforms(now_us)
+        start = max(self._virtual, flow.finish)
+        if not behind:  # a guarantee that is honoured must not forgive what the others are owed
+            self._virtual = start
+        flow.finish = start
+        if flow.share.class_weights:
+            flow.turn = flow.lanes[request.kind] = max(flow.turn, flow.lanes.get(request.kind, 0.0))
+        flow.running += 1
+        if work > LONG_US:  # as runs of this tenant are: its places are others' at once
+            flow.long += 1
+            self._long += 1
+        flow.charge(work, request.kind, now_us)
+        self._runs[request.id] = _Run(flow.number, request, now_us, work)
+
+    def ended(self, request: io.Request, took_us: int, now_us: int) -> None:
+        """Count a run no longer, and charge what it has taken."""
+        run = self._runs.pop(request.id, None)
+        flow = self._flows.get(run.tenant) if run else None
+        if run is None or flow is None:
+            return
+        took = float(took_us or now_us - run.since_us)
+        flow.running -= 1
+        if took_us:
+            flow.means.learn(request.kind, took, request.hint_us)
+            self._means.learn(request.kind, took, request.hint_us)
+        flow.charge(took - run.charged_us, request.kind, now_us)
+
+    def lent(self, tenant: int | None = None) -> int:
+        """Return how many runs of other tenants last so long that their places are this one's to use."""
+        return self._long - self._flow(tenant).long if self._long and tenant is not None else self._long
+
+    def order(self, held: Sequence[io.H], now_us: int) -> Iterator[io.H]:
+        """Yield held requests in the order in which tenants are entitled to run them.
+
+        `held` comes in the module's order, and so it stays within a tenant (or within a class of one that
+        weighs its classes). The order heeds what is `started` between two items. Whoever is at a bound of
+        its own is left out.
+        """
+        queues: dict[int, dict[int, deque[io.H]]] = {}
+        for one in held:
+            number = one.request.tenant
+            lane = one.request.kind if self._flow(number).share.class_weights else -1
+            queues.setdefault(number, {}).setdefault(lane, deque()).append(one)
+        heap = [(*self._place(self._flow(number), now_us), number) for number in queues]
+        heapq.heapify(heap)
+        while heap:
+            *_, number = heapq.heappop(heap)
+            flow, lanes = self._flow(number), queues[number]
+            share = flow.share
+            if share.running and flow.running >= share.running or (
+                    flow.limit is not None and not flow.limit.conforms(now_us)):
+                continue
+            lane = min(lanes, key=lambda kind: (flow.lanes.get(kind, 0.0), kind)) if len(lanes) > 1 else next(
+                iter(lanes))
+            yield lanes[lane].popleft()
+            if not lanes[lane]:
+                del lanes[lane]
+            if lanes:
+                heapq.heappush(heap, (*self._place(flow, now_us), number))
+
+    def _place(self, flow: _Flow, now_us: int) -> tuple[int, float, float]:
+        """Sort key: behind its guarantee first, then by start tag; of equal ones who has had less."""
+        if flow.reserve is not None and flow.reserve.conforms(now_us):
+            return 0, flow.reserve.tat_us, flow.finish
+        return 1, max(self._virtual, flow.finish), flow.finish
+
+    def period(self, now_us: int) -> None:
+        """Bring the standing up to date: runs that last, keys that have run out, who is over its share."""
+        self._long = 0
+        for flow in self._asking.values():
+            flow.long, flow.floor_us = 0, math.inf if flow.running else 0.0
+        for run in self._runs.values():
+            owner = self._flows.get(run.tenant)
+            lasted = now_us - run.since_us
+            if owner is not None and lasted > run.charged_us:
+                owner.charge(lasted - run.charged_us, run.request.kind, now_us)
+                run.charged_us = lasted
+            if owner is not None:
+                self._asking[owner.number] = owner  # what runs of it counts, though nothing more comes in
+                owner.floor_us = min(owner.floor_us, lasted)
+            if owner is not None and run.charged_us > LONG_US:
+                owner.long += 1
+                self._long += 1
+        for number, flow in list(self._asking.items()):
+            if flow.decay(now_us) < QUIET and not flow.held and not flow.running:
+                del self._asking[number]
+                flow.excess = flow.floor_us = 0.0
+                flow.long = 0
+        self._allocate()
+
+    def expired(self, now_us: int) -> list[int]:
+        """Return the requests whose keys have run out by now, for `forgets`."""
+        found = []
+        while self._ends and self._ends[0][0] <= now_us:
+            found.append(heapq.heappop(self._ends)[1])
+        return found
+
+    def _allocate(self) -> None:
+        asking = list(self._asking.values())
+        claims = [Claim(flow.demand, flow.share.weight, flow.share.guarantee * self._cores,
+                        flow.share.ceiling * self._cores) for flow in asking]
+        self._any_over = False
+        for flow, claim, given in zip(asking, claims, allocate(claims, self._cores), strict=True):
+            over = claim.demand > OVER * given
+            flow.excess = max(0.0, 1 - ADMIT * given / claim.demand) if over else 0.0
+            self._any_over = self._any_over or over
+
+    def _estimate(self, flow: _Flow, request: io.Request) -> float:
+        """Work that a request is likely to take, by its tenant's runs of the class, else by anyone's.
+
+        It is no less than all that runs of its tenant has lasted by now: a worker that hangs shows in this
+        long before the first end of a run could tell.
+        """
+        for means in (flow.means, self._means):
+            known = means.estimate(request.kind, request.hint_us)
+            if known is not None:
+                return max(known, flow.floor_us)
+        return max(float(request.hint_us) or FIRST_US, flow.floor_us)
--- /dev/null
+++ b/tests/shared_node.py
@@ -0,0 +1,122 @@
+"""A node of several tenants on a clock of its own: decision module, shares, and runs that take time."""
+
+import heapq
+import itertools
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from helpers import settings
+
+from reelusher import interface as io
+from reelusher.choice import Controller
+from reelusher.tenancy.shares import Share, Shares
+
+CLASSES = (io.RequestClass(deadline_us=5_000_000, aim_us=500_000),
+           io.RequestClass(deadline_us=5_000_000, aim_us=500_000, effect=io.Effect.KEYED,
+                           window_us=20_000_000),
+           io.RequestClass(deadline_us=20_000_000, aim_us=10_000_000))
+SEC = 1_000_000
+
+
+@dataclass(slots=True)
+class Demand:
+    """What one tenant asks for: a rate, and how long each run takes."""
+
+    rate: float
+    work_us: float = 100_000.0
+    kind: int = 0
+    hint: bool = False  # does a request tell the work that it takes
+    retries: float = 0.0  # of each refusal, that it comes again 50 ms later
+    begins_us: int = 0
+    ends_us: int = 1 << 60
+    held_kb: float = 16.0
+
+
+class SharedNode:
+    """Plays arrivals against one module and counts what each tenant gets."""
+
+    def __init__(self, shares: dict[int, Share] | None, demands: dict[int, Demand], cores: int = 4,
+                 seed: int = 1, **changes: float) -> None:
+        told = settings(*CLASSES, cores=cores, memory_kb=changes.pop("memory_kb", 65_536.0), run_factor=4.0,
+                        entry_kb=16.0, cold_from=1.0, cold_us=0)
+        self.shares = None if shares is None else Shares(cores, told.memory_kb)
+        for tenant, share in (shares or {}).items():
+            assert self.shares is not None
+            self.shares.entitle(tenant, share)
+        self.cores, self.demands = cores, demands
+        self.module = Controller(told, seed, self.shares)
+        self.random = random.Random(seed)
+        self.now, self.ids, self.order = 0, itertools.count(1), itertools.count()
+        self.queue: list[tuple[int, int, Callable[[], list[io.Event]]]] = []
+        self.who: dict[int, tuple[int, int]] = {}  # request: tenant, when it came
+        self.runs: set[int] = set()
+        self.answered: set[int] = set()
+        self.counts: dict[int, Counter[str]] = defaultdict(Counter)
+        self.work_us: Counter[int] = Counter()
+        self.log: list[tuple[int, io.Action]] = []
+        self._act(self.module.handle(0, []))
+        for tenant, demand in demands.items():
+            self.at(demand.begins_us + self.gap(demand), lambda t=tenant: self.arrive(t, True))  # type: ignore[misc]
+
+    def gap(self, demand: Demand) -> int:
+        return int(self.random.expovariate(demand.rate) * SEC)
+
+    def at(self, when_us: int, what: Callable[[], list[io.Event]]) -> None:
+        heapq.heappush(self.queue, (when_us, next(self.order), what))
+
+    def arrive(self, tenant: int, first: bool) -> list[io.Event]:
+        demand, number = self.demands[tenant], next(self.ids)
+        if first and self.now < demand.ends_us:
+            self.at(self.now + max(1, self.gap(demand)), lambda: self.arrive(tenant, True))
+        self.who[number] = tenant, self.now
+        self.counts[tenant]["asked"] += first
+        hint = int(demand.work_us) if demand.hint else 0
+        return [io.Request(number, demand.kind, tenant, 0, tenant, demand.held_kb, hint)]
+
+    def end(self, number: int) -> list[io.Event]:
+        tenant, came = self.who[number]
+        took = int(self.demands[tenant].work_us)
+        self.runs.discard(number)
+        self.work_us[tenant] += took
+        if number not in self.answered:
+            self.answered.add(number)
+            self.counts[tenant]["served"] += 1
+            self.counts[tenant]["in_time"] += self.now - came <= 500_000
+        return [io.RunEnded(number, io.Outcome.OK, took)]
+
+    def run(self, until_us: int) -> "SharedNode":
+        while self.queue and self.queue[0][0] <= until_us:
+            self.now, _, what = heapq.heappop(self.queue)
+            self._act(self.module.handle(self.now, what()))
+        return self
+
+    def tick(self, label: int) -> list[io.Event]:
+        busy = min(1.0, len(self.runs) / self.cores)
+        return [io.Tick(label, io.Gauges(busy, float(len(self.runs)), 0.0, 3.0))]
+
+    def _act(self, actions: list[io.Action]) -> None:
+        for action in actions:
+            self.log.append((self.now, action))
+            match action:
+                case io.Timer(in_us, label):
+                    self.at(self.now + in_us, lambda label=label: self.tick(label))  # type: ignore[misc]
+                case io.Run(number):
+                    self.runs.add(number)
+                    self.at(self.now + int(self.demands[self.who[number][0]].work_us),
+                            lambda number=number: self.end(number))  # type: ignore[misc]
+                case io.Decline(number) | io.Fail(number):
+                    tenant, _ = self.who[number]
+                    self.answered.add(number)
+                    self.counts[tenant]["refused" if isinstance(action, io.Decline) else "failed"] += 1
+                    if self.random.random() < self.demands[tenant].retries:
+                        self.at(self.now + 50_000, lambda tenant=tenant: self.arrive(tenant, False))  # type: ignore[misc]
+
+    def in_time(self, tenant: int) -> float:
+        """Return the part of a tenant's requests that were answered within the aim."""
+        return self.counts[tenant]["in_time"] / max(1, self.counts[tenant]["asked"])
+
+    def done(self) -> float:
+        """Return the part of the cores' time that was work."""
+        return sum(self.work_us.values()) / (self.cores * self.now)
--- a/tests/test_generated.py
+++ b/tests/test_generated.py
@@ -6,6 +6,7 @@
 
 from reelusher import interface as io
 from reelusher.choice import Controller, State
+from reelusher.tenancy.shares import Share, Shares
 
 KINDS = [
     io.RequestClass(deadline_us=3_000_000, aim_us=1_000_000, calls=True, skip_share=0.5),
@@ -16,15 +17,24 @@
 ]
 
 
+SHARES = [Share(), Share(weight=3, guarantee=0.3), Share(ceiling=0.4, held=3, class_weights={0: 2, 1: 1}),
+          Share(running=1, keys=2, memory_kb=400)]
 WAITING = ("held", "running", "joined", "calling", "at call")
 
 
 class Ledger:
     """What the worker knows of its requests; raises where an action is not allowed."""
 
-    def __init__(self, site: io.Settings) -> None:
+    def __init__(self, site: io.Settings, tenants: int = 0) -> None:
+        """Of several tenants, each has a share of its own; one tenant changes nothing of what is decided."""
         self.site = site
-        self.controller = Controller(site, 1)
+        self.tenants = max(1, tenants)
+        self.shares = Shares(site.cores, site.memory_kb) if tenants else None
+        for tenant in range(tenants):
+            assert self.shares is not None
+            self.shares.entitle(tenant, SHARES[tenant % len(SHARES)] if tenants > 1 else Share())
+        self.controller = Controller(site, 1, self.shares)
+        self.twin = Controller(site, 1) if tenants == 1 else None
         self.now = 0
         self.state: dict[int, str] = {}
         self.due: dict[int, int] = {}
@@ -43,7 +53,9 @@
 
     def apply(self, events: list[io.Event]) -> None:
         """Hand over events and check the actions."""
-        for action in self.controller.handle(self.now, events):
+        actions = self.controller.handle(self.now, events)
+        assert self.twin is None or self.twin.handle(self.now, events) == actions
+        for action in actions:
             self.check(action)
         self.recount()
         for ref in self.state.keys() - self.answered - self.gone:
@@ -58,6 +70,12 @@
         sizes = (w.request.held_kb * (1 if w.state in held else self.site.run_factor)
                  for w in made.work.values())
         assert abs(made.work_kb - sum(sizes)) < 1e-6
+        for tenant in range(self.tenants if self.shares else 0):
+            assert self.shares is not None
+            told = self.shares.usage(tenant, self.now)
+            own = [w for w in made.work.values() if w.request.tenant == tenant]
+            assert told["held"] == sum(w.state is State.HELD for w in own)
+            assert told["running"] == sum(w.ran for w in own)
 
     def check(self, action: io.Action) -> None:
         """Carry out one action."""
@@ -125,8 +143,8 @@
             original = keys[number % len(keys)] if kind == 2 and number % 3 == 0 and keys else 0
             if original:
                 self.original[ref] = original
-            event = io.Request(ref, kind, number % 5, number % 7, 0, 5.0, 1_000 * (number % 300), 0, waited,
-                               original)
+            event = io.Request(ref, kind, number % 5, number % 7, number % self.tenants, 5.0,
+                               1_000 * (number % 300), 0, waited, original)
         elif what == "gone" and (chosen := self.pick(number, *WAITING)):
             if chosen not in self.answered:
                 self.gone.add(chosen)
@@ -177,14 +195,14 @@
 @seed(1)
 @effort(max_examples=150, derandomize=True, deadline=None, database=None)
 @given(STEPS, st.sampled_from(list(io.Halt)), st.sampled_from(list(io.Say)), st.booleans(),
-       st.sampled_from([0.4, 3.0]))
+       st.sampled_from([0.4, 3.0]), st.sampled_from([0, 1, 4]))
 def test_rules_and_legal_actions(steps: list[tuple[str, int, int, float]], halt: io.Halt, say: io.Say,
-                                 fresh: bool, share: float) -> None:
+                                 fresh: bool, share: float, tenants: int) -> None:
     ledger = Ledger(io.Settings(
         classes=KINDS, cores=2, memory_kb=2_000, run_factor=6, crowd_per_core=5, crowd_over_us=2_000_000,
         cold_from=0.3, cold_us=5_000_000, grace_us=500_000, slack_us=80_000, tick_us=5_000, entry_kb=20,
         halt=halt, say=say, fresh=fresh, call_share=share, call_over_us=5_000_000, linger_us=200_000,
-        callers=3))
+        callers=3), tenants)
     for what, number, span_us, busy in steps:
         ledger.step(what, number)
         ledger.pass_time(span_us, busy)
