Tenants have shares and a lifecycle: suspend, resume, and removal that answers what is in hand

Need: shares were not wired to the AJP front, and a tenant that was removed just vanished from the table, with requests of it in the queue still to be taken.

Change: reelusher/tenancy/ takes admin/tenants.py up. lifecycle.py (free of I/O) gives each tenant a number that is never used again; the owner refuses what was read before its tenant went, and answers all that is in hand when the time is over, refused where it never ran and failed where it may have. Shares are set by tenants[].share. Results of keys make room by the tenant that has most. What only an operator's file needs is loaded only with one.

--- a/reelusher/admin/api.py
+++ b/reelusher/admin/api.py
@@ -10,12 +10,14 @@
 
 from loguru import logger
 
-from reelusher.admin.tenants import Tenants, save
 from reelusher.backends.workers import Pool
 from reelusher.config.operator import ACTIVATIONS, Admin
 from reelusher.config.table import ConfigError, Table
 from reelusher.core.owner import Core
 from reelusher.net import Address, Listener
+from reelusher.tenancy.lifecycle import State, WrongState
+from reelusher.tenancy.registry import Tenants
+from reelusher.tenancy.store import save
 from reelusher.wire import http1
 
 MOST_BODY = 1 << 18
@@ -56,6 +58,8 @@
             ("GET", "tenants", False): self._list, ("POST", "tenants", False): self._create,
             ("GET", "tenants", True): self._show, ("PUT", "tenants", True): self._update,
             ("DELETE", "tenants", True): self._delete, ("GET", "workers", False): self._workers,
+            ("POST", "tenants/suspend", True): self._suspend,
+            ("POST", "tenants/resume", True): self._resume, ("GET", "tenants/usage", True): self._usage,
             ("GET", "workers", True): self._worker, ("PUT", "workers", True): self._activate,
             ("GET", "status", False): self._status, ("GET", "counters", False): self._counters,
             ("POST", "drain", False): self._drain}
@@ -114,6 +118,8 @@
                 name = ""
             case ["v1", kind, name] if name:
                 pass
+            case ["v1", "tenants", name, part] if name:
+                kind = f"tenants/{part}"
             case _:
                 raise Refused(404, "no such resource")
         react = self._routes.get((method, kind, bool(name)))
@@ -121,7 +127,7 @@
             known = any((kind, bool(name)) == key[1:] for key in self._routes)
             raise Refused(405 if known else 404, "no such method here" if known else "no such resource")
         value = None
-        if method in ("POST", "PUT") and kind != "drain":
+        if method in ("POST", "PUT") and kind in ("tenants", "workers"):
             try:
                 value = json.loads(body)
             except (ValueError, RecursionError) as error:
@@ -130,17 +136,20 @@
             return react(name, value)
         except ConfigError as error:
             raise Refused(400, str(error), error.key) from None
+        except WrongState as error:
+            raise Refused(409, str(error)) from None
 
     # Tenants
 
     def _list(self, _name: str, _value: Any) -> Reply:
-        return 200, {"tenants": [tenant.to_json() for tenant in self._parts.tenants.all()]}
+        tenants = self._parts.tenants
+        return 200, {"tenants": [tenants.shown(entry) for entry in tenants.entries()]}
 
     def _show(self, name: str, _value: Any) -> Reply:
-        tenant = self._parts.tenants.get(name)
-        if tenant is None:
+        entry = self._parts.tenants.entry(name)
+        if entry is None:
             raise Refused(404, f"no tenant is named {name!r}")
-        return 200, tenant.to_json()
+        return 200, self._parts.tenants.shown(entry)
 
     def _create(self, _name: str, value: Any) -> Reply:
         tenants = self._parts.tenants
@@ -165,15 +174,33 @@
         return 200, tenant.to_json()
 
     def _delete(self, name: str, _value: Any) -> Reply:
-        if not self._change(lambda: self._parts.tenants.delete(name)):
+        if not self._change(lambda: self._parts.tenants.delete(name) is not None):
+            raise Refused(404, f"no tenant is named {name!r}")
+        left = self._parts.tenants.entry(name)
+        return (204, None) if left is None else (202, self._parts.tenants.shown(left))
+
+    def _suspend(self, name: str, _value: Any) -> Reply:
+        return self._move(name, State.SUSPENDED)
+
+    def _resume(self, name: str, _value: Any) -> Reply:
+        return self._move(name, State.ACTIVE)
+
+    def _move(self, name: str, to: State) -> Reply:
+        if not self._change(lambda: self._parts.tenants.move(name, to) is not None):
+            raise Refused(404, f"no tenant is named {name!r}")
+        return self._show(name, None)
+
+    def _usage(self, name: str, _value: Any) -> Reply:
+        found = self._parts.core.ask(lambda: self._parts.tenants.usage(name))
+        if found is None:
             raise Refused(404, f"no tenant is named {name!r}")
-        return 204, None
+        return 200, found
 
     def _change(self, change: Callable[[], bool]) -> bool:
         """Let the owner make a change, and keep it for the next start."""
         done: bool = self._parts.core.ask(change)
         if done and self._state is not None:
-            save(self._parts.tenants.all(), self._state)
+            save(self._parts.tenants.entries(), self._state)
         return done
 
     # The rest
--- a/reelusher/config/operator.py
+++ b/reelusher/config/operator.py
@@ -1,6 +1,7 @@
 """The operator's file: the AJP front, the administration API, tenants, workers and balancers, in TOML."""
 
 import tomllib
+from collections.abc import Iterable
 from dataclasses import asdict, dataclass
 from ipaddress import ip_address
 from pathlib import Path
@@ -25,6 +26,31 @@
     class_name: str
 
 
+@dataclass(slots=True, frozen=True)
+class ShareOf:
+    """What a tenant is entitled to, as operators write it: parts of the capacity; a bound of 0 is none."""
+
+    weight: float = 1.0
+    guarantee: float = 0.0
+    ceiling: float = 1.0
+    burst_ms: int = 200
+    held: int = 0
+    running: int = 0
+    memory_kb: float = 0.0
+    keys: int = 0
+    connections: int = 0
+    classes: tuple[tuple[str, float], ...] = ()  # weights of classes within the tenant
+
+    def to_json(self) -> dict[str, Any]:
+        """Return what differs from the standard share."""
+        made = {key: value for key, value in asdict(self).items()
+                if value != getattr(STANDARD_SHARE, key) and key != "classes"}
+        return made | ({"classes": dict(self.classes)} if self.classes else {})
+
+
+STANDARD_SHARE = ShareOf()
+
+
 @dataclass(slots=True, frozen=True)
 class Tenant:
     """One tenant: which requests are its own, what class they have and what runs them."""
@@ -38,10 +64,14 @@
     max_open: int  # requests in hand past which it is refused; 0: no bound of its own
     held_kb: float  # memory booked for a held request beside its body
     routes: tuple[Route, ...]
+    share: ShareOf = STANDARD_SHARE
 
     def to_json(self) -> dict[str, Any]:
         """Return it as the administration API and the operator's file write it."""
         made = asdict(self)
+        made["share"] = self.share.to_json()
+        if not made["share"]:
+            del made["share"]
         made["hosts"] = list(self.hosts)
         made["routes"] = [{"method": r.method, "path": r.path, "class": r.class_name} for r in self.routes]
         if not self.default_class:
@@ -178,7 +208,7 @@
 def read_tenant(table: Table, class_names: tuple[str, ...], backends: frozenset[str]) -> Tenant:
     """Check one tenant, from the operator's file or the administration API."""
     table.only("name", "backend", "hosts", "prefix", "key_header", "default_class", "max_open",
-               "held_kb", "routes")
+               "held_kb", "routes", "share")
     routes = []
     for route in table.tables("routes"):
         route.only("method", "path", "class")
@@ -193,7 +223,28 @@
         key_header=table.text("key_header", "X-Request-Key").lower(),
         default_class=table.word("default_class", class_names) if "default_class" in table else "",
         max_open=table.whole("max_open", 0),
-        held_kb=table.number("held_kb", 16.0, 0.0, 1e6), routes=tuple(routes))
+        held_kb=table.number("held_kb", 16.0, 0.0, 1e6), routes=tuple(routes),
+        share=_read_share(table.table("share"), class_names))
+
+
+def _read_share(table: Table, class_names: tuple[str, ...]) -> ShareOf:
+    table.only("weight", "guarantee", "ceiling", "burst_ms", "held", "running", "memory_kb", "keys",
+               "connections", "classes")
+    classes = table.table("classes")
+    classes.only(*class_names)
+    return ShareOf(
+        weight=table.number("weight", 1.0, 0.001, 1e6), guarantee=table.number("guarantee", 0.0, 0.0, 1.0),
+        ceiling=table.number("ceiling", 1.0, 0.001, 1.0), burst_ms=table.whole("burst_ms", 200, 0, 3_600_000),
+        held=table.whole("held", 0), running=table.whole("running", 0),
+        memory_kb=table.number("memory_kb", 0.0), keys=table.whole("keys", 0),
+        connections=table.whole("connections", 0),
+        classes=tuple((name, classes.number(name, None, 0.001, 1e6)) for name in class_names
+                      if name in classes))
+
+
+def over_guaranteed(tenants: Iterable[Tenant]) -> bool:
+    """Tell whether guarantees add up to more than there is."""
+    return sum(tenant.share.guarantee for tenant in tenants) > 1 + 1e-9
 
 
 def _path(table: Table, key: str) -> str:
@@ -250,6 +301,8 @@
     backends = backend_names(workers, balancers, has_runtime)
     tenants = tuple(read_tenant(entry, names, backends) for entry in table.tables("tenants"))
     _distinct("tenants", [one.name for one in tenants])
+    if over_guaranteed(tenants):
+        raise ConfigError("tenants", "the guarantees of all shares add up to more than 1")
     return Operator(
         name=node.text("name", "reelusher"), seed=seed_of(node.text("seed", "1"), "node.seed"),
         stop_ms=node.whole("stop_ms", 10_000, least=100), memory_mb=node.number("memory_mb", 192.0, 16),
--- a/reelusher/core/attempts.py
+++ b/reelusher/core/attempts.py
@@ -1,5 +1,6 @@
 """Attempts in hand: one for each request read, until it is answered and nothing of it runs."""
 
+from collections import Counter
 from collections.abc import Iterator
 from enum import Enum
 
@@ -43,6 +44,7 @@
         self._by_id: dict[int, Attempt] = {}
         self._by_call: dict[str, Attempt] = {}
         self._last = 0
+        self._of_tenant: Counter[int] = Counter()
         self.owed = 0  # answers, for any thread to look at
 
     def __len__(self) -> int:
@@ -60,6 +62,7 @@
         attempt = Attempt(self._last, request, runner, due_us)
         self._by_id[attempt.id] = self._by_call[request.call] = attempt
         self.owed += 1
+        self._of_tenant[request.tenant_no] += 1
         return attempt
 
     def get(self, number: int) -> Attempt | None:
@@ -72,10 +75,18 @@
 
     def drop(self, attempt: Attempt) -> None:
         """Let go of an attempt."""
-        self._by_id.pop(attempt.id, None)
+        if self._by_id.pop(attempt.id, None) is not None:
+            number = attempt.request.tenant_no
+            self._of_tenant[number] -= 1
+            if not self._of_tenant[number]:
+                del self._of_tenant[number]
         if self._by_call.get(attempt.request.call) is attempt:
             del self._by_call[attempt.request.call]
 
+    def of_tenant(self, number: int) -> int:
+        """Count those of one tenant, those that are answered and still run among them."""
+        return self._of_tenant[number]
+
     def answer(self, attempt: Attempt) -> None:
         """Note that no answer is owed any more."""
         if not attempt.answered:
--- a/reelusher/core/keys.py
+++ b/reelusher/core/keys.py
@@ -32,6 +32,8 @@
         self._tail_us = tail_us
         self._most_bytes = most_result_bytes
         self._bytes = 0  # of all kept results
+        self._results: dict[str, dict[int, Entry]] = {}  # by tenant and holder, oldest first
+        self._bytes_of: dict[str, int] = {}  # the same bytes by tenant
         self._by_key: dict[Key, Entry] = {}
         self._by_holder: dict[int, Entry] = {}
 
@@ -66,25 +68,47 @@
     def store(self, entry: Entry, result: Result | None) -> int:
         """Keep what the holder's run came to; return how many older results had to go to make room.
 
-        An entry that has lost its result still names its original: a repeat fails, it never runs again.
+        An entry that has lost its result still names its original: a repeat fails, it never runs again. Room
+        is made by the tenant whose results take most, so that a flood of one pushes out its own.
         """
         entry.over, entry.result = True, result
-        self._bytes += len(result.body) if result else 0
+        if result is not None:
+            tenant = entry.key[0]
+            self._results.setdefault(tenant, {})[entry.holder] = entry
+            self._count(tenant, len(result.body))
         dropped = 0
-        for old in self:
-            if self._bytes <= self._most_bytes:
-                break
-            if old.result is not None and not old.waiting:
-                self._bytes -= len(old.result.body)
-                old.result = None
-                dropped += 1
+        while self._bytes > self._most_bytes and (old := self._oldest_of_most()) is not None:
+            self._drop_result(old)
+            dropped += 1
         return dropped
 
+    def _oldest_of_most(self) -> Entry | None:
+        """Return the oldest result of the tenant that has most bytes of those that no join waits for."""
+        for tenant in sorted(self._bytes_of, key=self._bytes_of.__getitem__, reverse=True):
+            for entry in self._results[tenant].values():
+                if not entry.waiting:
+                    return entry
+        return None
+
+    def _drop_result(self, entry: Entry) -> None:
+        if entry.result is None:
+            return
+        tenant, size = entry.key[0], len(entry.result.body)
+        entry.result = None
+        del self._results[tenant][entry.holder]
+        self._count(tenant, -size)
+        if not self._results[tenant]:
+            del self._results[tenant], self._bytes_of[tenant]
+
+    def _count(self, tenant: str, size: int) -> None:
+        self._bytes += size
+        self._bytes_of[tenant] = self._bytes_of.get(tenant, 0) + size
+
     def forget(self, holder: int) -> Entry | None:
         """Remove an entry ahead of its time."""
         entry = self._by_holder.pop(holder, None)
-        if entry and entry.result is not None:
-            self._bytes -= len(entry.result.body)
+        if entry:
+            self._drop_result(entry)
         if entry and self._by_key.get(entry.key) is entry:
             del self._by_key[entry.key]
         return entry
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -53,7 +53,7 @@
     def __init__(self, settings: io.Settings, gauges: list[str], seed: int, runner: Runner,
                  dependency: Dependency | None = None, class_names: list[str] | None = None,
                  clock: Clock | None = None, counters: Counters | None = None,
-                 most_result_bytes: int = 48 << 20) -> None:
+                 most_result_bytes: int = 48 << 20, standing: io.Standing | None = None) -> None:
         self.settings = settings
         self.gauges = gauges
         self.class_names = class_names or [str(number) for number in range(len(settings.classes))]
@@ -67,7 +67,8 @@
         self._grace_end_us: int | None = None  # what reaches the machine later is not run
         self._runner = runner
         self._dependency = dependency
-        self._controller = Controller(settings, seed)
+        self.admits: Callable[[int], bool] | None = None  # are requests of a tenant, by number, taken at all
+        self._controller = Controller(settings, seed, standing)
         self._timers = Timers()
         self._inbox: queue.SimpleQueue[Message | None] = queue.SimpleQueue()
         self._events: list[io.Event] = []  # of the batch that is being gathered
@@ -191,6 +192,11 @@
                                request.call)
             request.reply(self._answer_of(Verdict.FAILED))
             return
+        if self.admits is not None and request.tenant_no and not self.admits(request.tenant_no):
+            # suspended or removed since the front looked; it was not handed to the module and never ran
+            self.counters.add("requests.tenant_gone")
+            request.reply(self._answer_of(Verdict.REFUSED))
+            return
         kind = self.settings.classes[request.kind]
         original = 0
         if kind.effect is io.Effect.KEYED and request.key:
@@ -505,6 +511,23 @@
             if attempt is not None and not attempt.answered:
                 self._guard(attempt)
 
+    def after(self, us: int, action: Callable[[], None]) -> None:
+        """Do something so many microseconds from now; called by the owner."""
+        self._timers.at(self.clock.now() + us, action)
+
+    def end_tenant(self, number: int) -> None:
+        """Answer now all that a tenant has in hand, each once; called by the owner.
+
+        Runs go on to their end, and their keys stay: a repeat must still find that they ran.
+        """
+        for attempt in self.attempts:
+            if attempt.request.tenant_no == number and not attempt.answered:
+                never = not attempt.ran and attempt.stage is Stage.HELD
+                self._give_answer(attempt, Verdict.REFUSED if never else Verdict.FAILED)
+                self._events.append(io.Gone(attempt.id))
+                self._settle(attempt)
+        self._flush()
+
     def _guard(self, attempt: Attempt) -> None:
         self.counters.warn("answers.by_guard", "request {} was due with no answer: answered as failed",
                            attempt.request.call)
--- a/reelusher/fronts/ajp.py
+++ b/reelusher/fronts/ajp.py
@@ -14,7 +14,6 @@
 from loguru import logger
 
 from reelusher import interface as io
-from reelusher.admin.tenants import Match, Tenants
 from reelusher.config.operator import Ajp, Tenant
 from reelusher.core.model import Answer, Arrived, Request, Verdict
 from reelusher.core.owner import Core
@@ -23,6 +22,7 @@
 from reelusher.drain.plan import Facts, Stages
 from reelusher.fronts.platform import subject_of
 from reelusher.net import Address, Listener, spawn
+from reelusher.tenancy.registry import Match, Tenants
 from reelusher.wire import ajp13
 
 SEND_S = 10.0  # a web server that takes no part of an answer for this long loses the connection
@@ -205,6 +205,9 @@
         door_us = self._core.clock.now()
         body = self._body(stream, forward)
         match = self._match(forward)
+        if not match.admitted:
+            self._core.counters.add(f"tenant.{match.tenant.name}.turned_away")
+            return Answer(Verdict.REFUSED)
         kind = self._kinds[match.class_name]
         key = forward.header(match.tenant.key_header) or ""
         if self._core.settings.classes[kind].effect is io.Effect.KEYED and not 0 < len(key) <= 128:
@@ -215,8 +218,7 @@
         else:
             answers: queue.SimpleQueue[Answer] = queue.SimpleQueue()
             try:
-                self._core.post(Arrived(self._request(forward, tenant.name, kind, body, door_us, key,
-                                                      tenant.held_kb, answers.put)))
+                self._core.post(Arrived(self._request(forward, match, kind, body, door_us, key, answers.put)))
                 answer = answers.get(timeout=LONGEST_WAIT_S)
             finally:
                 with self._lock:
@@ -232,12 +234,13 @@
             self._in_hand[tenant.name] += 1
             return True
 
-    def _request(self, forward: ajp13.Forward, tenant: str, kind: int, body: bytes, door_us: int, key: str,
-                 held_kb: float, reply: Callable[[Answer], None]) -> Request:
+    def _request(self, forward: ajp13.Forward, match: Match, kind: int, body: bytes, door_us: int, key: str,
+                 reply: Callable[[Answer], None]) -> Request:
         return Request(
             call=f"{self._prefix}{next(self._numbers):x}", kind=kind, body=body, door_us=door_us, reply=reply,
-            tenant=tenant, caller=hash_of(forward.remote_addr), subject=subject_of(forward.uri),
-            held_kb=held_kb + len(body) / 1024, key=key, head=forward)
+            tenant=match.tenant.name, tenant_no=match.number,
+            caller=hash_of(forward.remote_addr), subject=subject_of(forward.uri),
+            held_kb=match.tenant.held_kb + len(body) / 1024, key=key, head=forward)
 
     def _match(self, forward: ajp13.Forward) -> Match:
         path = forward.uri.partition(";")[0]
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -5,21 +5,19 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from pathlib import Path
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from loguru import logger
 
-from reelusher.admin import tenants as tenancy
-from reelusher.admin.api import AdminApi, Parts
 from reelusher.backends.catalog import Catalog
 from reelusher.backends.runtime import RuntimeLink
 from reelusher.backends.vault import Vault
 from reelusher.backends.workers import BalancedRunner, Pool
 from reelusher.config import PLATFORM_TENANT, Config, ConfigError, load
-from reelusher.config.operator import Operator, backend_names
+from reelusher.config.operator import Operator, Tenant, backend_names
 from reelusher.core.clock import Clock
 from reelusher.core.counters import Counters
 from reelusher.core.model import DrainOrder, Message, Runner
@@ -27,10 +25,13 @@
 from reelusher.drain.leave import Drained, lead
 from reelusher.drain.plan import Pace
 from reelusher.drain.signals import SignalWatch
-from reelusher.fronts.ajp import AjpFront
 from reelusher.fronts.platform import PlatformFront
 from reelusher.net import spawn
 
+if TYPE_CHECKING:
+    from reelusher.admin.api import AdminApi
+    from reelusher.tenancy.shares import Shares
+
 SWITCH_S = 0.001  # a thread that waits for the interpreter gets it within this
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 RESULTS_PART = 0.25  # part of the node's memory that kept results may take
@@ -72,9 +73,10 @@
                            self._clock) if told and told.vault else None
         # without a runtime, only tenants with workers of their own can be served
         nobody: Runner = BalancedRunner(self._pool, [], sticky=False, method="requests")
+        self._shares = self._shares_of(config)
         self.core = Core(config.settings, config.gauges, config.seed, self.runtime or nobody, self.vault,
                          config.class_names, self._clock, self.counters,
-                         int(config.memory_mb * RESULTS_PART * (1 << 20)))
+                         int(config.memory_mb * RESULTS_PART * (1 << 20)), self._shares)
         self.catalog = Catalog(told.directory, told.name, lambda: self.core.told.healthy,
                                self.counters) if told and told.directory else None
         if told:
@@ -87,13 +89,21 @@
             self._set_up(own)
 
     def _set_up(self, own: Operator) -> None:
-        """Set up what the operator's file asks for."""
+        """Set up what the operator's file asks for; without one, nothing of it is loaded."""
+        from reelusher.admin.api import AdminApi, Parts
+        from reelusher.fronts.ajp import AjpFront
+        from reelusher.tenancy import store
+        from reelusher.tenancy.lifecycle import State
+        from reelusher.tenancy.registry import Tenants
+
         backends = backend_names(own.workers, own.balancers, self.config.platform is not None)
-        found = None
+        assert self._shares is not None
+        found: Iterable[tuple[Tenant, State]] | None = None
         if own.admin and own.admin.state_file:
-            found = tenancy.saved(Path(own.admin.state_file), own.class_names, backends)
-        tenants = tenancy.Tenants(own.tenants if found is None else found, own.class_names, self._pool.runner,
-                                  self.core.runners, backends)
+            found = store.saved(Path(own.admin.state_file), own.class_names, backends)
+        if found is None:
+            found = [(tenant, State.ACTIVE) for tenant in own.tenants]
+        tenants = Tenants(found, own.class_names, self._pool.runner, self.core, self._shares, backends)
         if own.ajp:
             self.fronts["ajp"] = AjpFront(
                 self.core, replace(own.ajp, max_connections=self._most_ajp()), tenants)
@@ -101,6 +111,14 @@
             self.admin = AdminApi(own.admin, Parts(self.core, tenants, self._pool, self.status,
                                                    self.ask_to_leave))
 
+    @staticmethod
+    def _shares_of(config: Config) -> "Shares | None":
+        """Return the standing of tenants; the platform has none, and nothing of it is loaded there."""
+        if config.operator is None:
+            return None
+        from reelusher.tenancy.shares import Shares
+        return Shares(config.settings.cores, config.settings.memory_kb)
+
     def _most_connections(self) -> int:
         """Return how many descriptors the fronts may spend; the rest is kept for all else."""
         own = self.config.operator
