Bound connections by tenant, make room in a full AJP table, and test the removal of tenants

Need: one tenant's web server could keep all others out of a full table, and removal under load had no test.

Change: tenants[].share.connections; a full table ends idle or half asked connections of the address that has most; a body has to end within 30 s. Scenarios remove a tenant whose requests are held, running and joined, and add it again within the window of a key.

--- a/reelusher/admin/api.py
+++ b/reelusher/admin/api.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
+from urllib.parse import parse_qsl
 
 from loguru import logger
 
@@ -15,12 +16,13 @@
 from reelusher.config.table import ConfigError, Table
 from reelusher.core.owner import Core
 from reelusher.net import Address, Listener
-from reelusher.tenancy.lifecycle import State, WrongState
+from reelusher.tenancy.lifecycle import DRAIN_US, State, WrongState
 from reelusher.tenancy.registry import Tenants
 from reelusher.tenancy.store import save
 from reelusher.wire import http1
 
 MOST_BODY = 1 << 18
+MOST_WITHIN_MS = 3_600_000  # a tenant that is removed is gone by then at the latest
 TIMEOUT_S = 30.0  # for the next request on a connection, and for one answer to be taken
 
 Reply = tuple[int, Any]
@@ -94,7 +96,8 @@
         self._parts.core.counters.add("admin.requests")
         try:
             self._authorize(message)
-            status, value = self._dispatch(method, target.partition("?")[0], message.body)
+            path, _, query = target.partition("?")
+            status, value = self._dispatch(method, path, message.body, query)
         except Refused as error:
             extra = {"WWW-Authenticate": "Bearer"} if error.status == 401 else {}
             where = {"field": error.field} if error.field else {}
@@ -112,7 +115,7 @@
             self._parts.core.counters.add("admin.unauthorized")
             raise Refused(401, "a valid bearer token is needed")
 
-    def _dispatch(self, method: str, path: str, body: bytes) -> Reply:
+    def _dispatch(self, method: str, path: str, body: bytes, query: str) -> Reply:
         match path.strip("/").split("/"):
             case ["v1", kind]:
                 name = ""
@@ -126,7 +129,7 @@
         if react is None:
             known = any((kind, bool(name)) == key[1:] for key in self._routes)
             raise Refused(405 if known else 404, "no such method here" if known else "no such resource")
-        value = None
+        value: Any = dict(parse_qsl(query)) if method == "DELETE" else None
         if method in ("POST", "PUT") and kind in ("tenants", "workers"):
             try:
                 value = json.loads(body)
@@ -173,8 +176,11 @@
             raise Refused(404, f"no tenant is named {name!r}")
         return 200, tenant.to_json()
 
-    def _delete(self, name: str, _value: Any) -> Reply:
-        if not self._change(lambda: self._parts.tenants.delete(name) is not None):
+    def _delete(self, name: str, query: Any) -> Reply:
+        within = query.get("within_ms", str(DRAIN_US // 1000))
+        if not (within.isascii() and within.isdigit() and int(within) <= MOST_WITHIN_MS):
+            raise Refused(400, f"a whole number from 0 to {MOST_WITHIN_MS} is wanted", "within_ms")
+        if not self._change(lambda: self._parts.tenants.delete(name, int(within) * 1000) is not None):
             raise Refused(404, f"no tenant is named {name!r}")
         left = self._parts.tenants.entry(name)
         return (204, None) if left is None else (202, self._parts.tenants.shown(left))
--- a/reelusher/fronts/ajp.py
+++ b/reelusher/fronts/ajp.py
@@ -10,6 +10,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -26,12 +27,13 @@
 from reelusher.wire import ajp13
 
 SEND_S = 10.0  # a web server that takes no part of an answer for this long loses the connection
-BODY_S = 10.0  # a body that is asked for has come within this
+BODY_S = 10.0  # a piece of a body that is asked for has come within this
+BODY_MOST_S = 30.0  # and all of it within this
 LEAVE_S = 0.2  # requests that cross the drain's end are still read for this long
 PARTING_S, PARTING_BYTES = 0.2, 1 << 18  # what is still read, unheeded, after a connection's last answer
 LONGEST_WAIT_S = 3600.0  # no answer takes as long: the core answers by the due time
-REASONS = {400: "Bad Request", 403: "Forbidden", 404: "Not Found", 413: "Content Too Large",
-           500: "Internal Server Error", 503: "Service Unavailable"}
+REASONS = {400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout",
+           413: "Content Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
 
 
 class Rejected(Exception):
@@ -61,6 +63,17 @@
             self._came = iter(list(self._packets.feed(data)))
 
 
+@dataclass(slots=True)
+class Place:
+    """A connection's place in the table."""
+
+    host: str  # whose it is
+    since: float  # when it began to be as it is
+    busy: bool = False  # a request is open on it
+    asked: bool = False  # that request has reached the core
+    tenant: str = ""  # whose the newest request was
+
+
 class AjpFront:
     """Listens for web servers. A connection carries one request at a time and has a thread of its own."""
 
@@ -71,7 +84,8 @@
         self._kinds = {name: number for number, name in enumerate(core.class_names)}
         self._numbers = itertools.count(1)
         self._prefix = f"ajp{core.clock.now():x}x"
-        self._open: dict[socket.socket, bool] = {}  # connections, and whether a request is open on them
+        self._open: dict[socket.socket, Place] = {}
+        self._of_tenant: Counter[str] = Counter()  # connections by the tenant of their newest request
         self._in_hand: Counter[str] = Counter()  # requests by tenant
         self._lock = threading.Lock()
         self._leaving = self._closed = False
@@ -113,8 +127,8 @@
                     self._listener.stop()
                 with self._lock:
                     carrying = dict(self._open)
-                self._owed = Facts(sum(carrying.values()), 0, sum(
-                    unread_bytes(sock) for sock, busy in carrying.items() if not busy)), now
+                self._owed = Facts(sum(place.busy for place in carrying.values()), 0, sum(
+                    unread_bytes(sock) for sock, place in carrying.items() if not place.busy)), now
             time.sleep(LOOK_S)
 
     def open_connections(self) -> int:
@@ -125,9 +139,9 @@
 
     def _serve(self, sock: socket.socket, peer: Address) -> None:
         with self._lock:
-            full = len(self._open) >= self._config.max_connections
+            full = len(self._open) >= self._config.max_connections and not self._made_room(peer[0])
             if not full:
-                self._open[sock] = False
+                self._open[sock] = Place(peer[0], time.monotonic())
         if full:
             self._core.counters.add("ajp.too_many_connections")
             sock.close()
@@ -141,9 +155,43 @@
             logger.debug("ajp: {}", error)
         finally:
             with self._lock:
-                del self._open[sock]
+                self._belongs(self._open.pop(sock), "")
             sock.close()
 
+    def _made_room(self, host: str) -> bool:
+        """End a connection of whoever has most, if that is not the newcomer; called with the lock held.
+
+        One that carries a request which has reached the core is left alone; of the others the one goes that
+        has been idle, or half asked, for longest. So one web server can't keep the others out.
+        """
+        counts = Counter(place.host for place in self._open.values())
+        most, count = counts.most_common(1)[0]
+        if count <= counts[host] + 1:
+            return False
+        spare = [(place.since, place.asked, sock) for sock, place in self._open.items()
+                 if place.host == most and not place.asked]
+        if not spare:
+            return False
+        *_, sock = min(spare, key=lambda one: one[0])
+        self._open[sock].asked = True  # not a second time
+        self._core.counters.warn("ajp.closed_for_room",
+                                 "ajp: {} connections are open, {} of them {}'s: it loses some to others",
+                                 len(self._open), count, most)
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+        return True
+
+    def _belongs(self, place: Place, tenant: str) -> int:
+        """Count a connection as a tenant's, or as nobody's; return how many that has now. With the lock."""
+        if place.tenant:
+            self._of_tenant[place.tenant] -= 1
+            if not self._of_tenant[place.tenant]:
+                del self._of_tenant[place.tenant]
+        place.tenant = tenant
+        if tenant:
+            self._of_tenant[tenant] += 1
+        return self._of_tenant[tenant] if tenant else 0
+
     def _carry(self, sock: socket.socket) -> None:
         stream = Stream(sock, self._config.packet_size)
         while self._wait(sock):
@@ -151,11 +199,13 @@
             payload = stream.next()
             if payload is None:
                 return
-            self._open[sock] = True
+            place = self._open[sock]
+            place.busy, place.since = True, time.monotonic()
             try:
                 goes_on = self._take(stream, payload)
             finally:
-                self._open[sock] = False
+                place.busy = place.asked = False
+                place.since = time.monotonic()
             if not goes_on:
                 return
 
@@ -213,6 +263,13 @@
         if self._core.settings.classes[kind].effect is io.Effect.KEYED and not 0 < len(key) <= 128:
             raise Rejected(400, f"requests of {match.class_name} need the header {match.tenant.key_header}")
         tenant = match.tenant
+        most = tenant.share.connections
+        with self._lock:
+            place = self._open[stream.sock]
+            beyond = place.tenant != tenant.name and self._belongs(place, tenant.name) > most > 0
+            place.asked = True
+        if beyond:
+            raise Rejected(503, f"{tenant.name} has {most} connections", closes=True)
         if not self._enter(tenant):
             answer = Answer(Verdict.REFUSED)
         else:
@@ -254,7 +311,7 @@
         size, most = forward.body_size(), self._config.max_body_kb * 1024
         if size is not None and size > most:
             raise Rejected(413, f"a body of {size} bytes, {most} at most", closes=True)
-        body, asked = bytearray(), size is not None
+        body, asked, until = bytearray(), size is not None, time.monotonic() + BODY_MOST_S
         piece = self._config.packet_size - ajp13.BODY_OVERHEAD
         while size is None or len(body) < size:
             if not asked:
@@ -270,6 +327,8 @@
             if not data:
                 raise ajp13.Malformed("a body shorter than its content-length")
             body += data
+            if time.monotonic() > until:  # each piece came in time, and still it has no end
+                raise Rejected(408, "the body takes too long", closes=True)
             if len(body) > most:
                 raise Rejected(413, f"a body of more than {most} bytes", closes=True)
         if size is not None and len(body) > size:
@@ -281,7 +340,8 @@
     def _reject(self, stream: Stream, error: Rejected) -> bool:
         self._core.counters.add(f"ajp.rejected_{error.status}")
         logger.warning("ajp: request answered {}: {}", error.status, error)
-        head = ajp13.ResponseHead(error.status, REASONS[error.status], _text_headers(str(error)))
+        later = (("Retry-After", "1"),) if error.status == 503 else ()
+        head = ajp13.ResponseHead(error.status, REASONS[error.status], (*later, *_text_headers(str(error))))
         return self._write(stream, head, f"{error}\n".encode(), not error.closes)
 
     def _send(self, stream: Stream, method: str, answer: Answer) -> bool:
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -77,10 +77,12 @@
         self.reader = threading.Thread(target=work, daemon=True)
         self.reader.start()
 
-    def dial(self, place: str, decoder: Any, note: Callable[[Any], str | None]) -> socket.socket:
-        """Connect to the node, once."""
+    def dial(self, place: str, decoder: Any, note: Callable[[Any], str | None], source: str = ""
+             ) -> socket.socket:
+        """Connect to the node, once, from an address of this machine."""
         if self.sock is None:
-            self.sock = socket.create_connection(self.world["places"][place], PATIENCE_S)
+            self.sock = socket.create_connection(self.world["places"][place], PATIENCE_S,
+                                                 (source, 0) if source else None)
             self.sock.settimeout(None)
             self.read(decoder, note)
         return self.sock
@@ -268,7 +270,8 @@
 
     def send(self, words: Words) -> None:
         plain, given = options(words)
-        sock = self.dial("ajp", ajp13.Packets(ajp13.TO_SERVER, ajp13.MOST_PACKET), self.note)
+        sock = self.dial("ajp", ajp13.Packets(ajp13.TO_SERVER, ajp13.MOST_PACKET), self.note,
+                         given.pop("source", ""))
         if plain[0] in ("cping", "shutdown"):
             code = ajp13.CPING if plain[0] == "cping" else ajp13.SHUTDOWN
             sock.sendall(ajp13.packet(ajp13.TO_CONTAINER, bytes([code])))
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -734,6 +734,114 @@
         node expect count ajp.malformed 3
         a4 send cping
         a4 expect cpong""",
+    # Tenants
+    "a tenant removed while its requests are held, running and joined, and added again within the window": """
+        with busy=1
+        a1 send POST /visits host=clinic key=K body=x
+        w1 expect POST /visits x
+        a2 send POST /visits host=clinic key=K body=x
+        a3 send GET /days host=clinic
+        w2 expect GET /days
+        a4 send GET /x host=clinic
+        node expect count keys.joined 1
+        node expect count requests.read 4
+        admin send DELETE /v1/tenants/clinic?within_ms=800
+        admin expect 202
+        a5 send GET /days host=clinic
+        a5 expect 503 Full reuse=1 retry=1
+        a4 expect 503
+        a3 expect 500
+        a2 expect 500
+        a1 expect 500
+        node expect count tenants.removed 1
+        node expect count tenants.ended_in_hand 4
+        admin send GET /v1/tenants/clinic
+        admin expect 404
+        w1 send 200 booked
+        node expect count runs.ok 1
+        a1 expect nothing
+        admin send POST /v1/tenants {"name":"clinic","backend":"w2","default_class":"book-visit"}
+        admin expect 201
+        a6 send POST /visits host=clinic key=K body=x
+        a6 expect 200 booked
+        node expect count runs.started 2
+        node expect count answers.refused 1""",
+    "a tenant with nothing in hand is gone at once, one whose last run ends as soon as that does": """
+        a1 send GET /days host=clinic
+        w1 expect GET /days
+        admin send DELETE /v1/tenants/single
+        admin expect 204
+        admin send DELETE /v1/tenants/clinic?within_ms=60000
+        admin expect 202
+        admin send DELETE /v1/tenants/clinic?within_ms=soon
+        admin expect 400 within_ms
+        admin send POST /v1/tenants/clinic/suspend
+        admin expect 409
+        admin send PUT /v1/tenants/clinic {"backend":"w1"}
+        admin expect 409
+        w1 send 200 r
+        a1 expect 200 r
+        node expect count tenants.removed 2
+        node expect count tenants.ended_in_hand 0""",
+    "a suspended tenant is refused while others are served, and what it has in hand goes on": """
+        a1 send GET /days host=clinic
+        w1 expect GET /days
+        admin send POST /v1/tenants/clinic/suspend
+        admin expect 200
+        a2 send GET /days host=clinic
+        a2 expect 503
+        w1 send 200 r
+        a1 expect 200 r
+        a3 send GET /days host=single
+        w1 expect GET /days
+        w1 send 200 s
+        a3 expect 200 s
+        admin send GET /v1/tenants/clinic/usage
+        admin expect 200
+        admin send POST /v1/tenants/clinic/resume
+        admin expect 200
+        a2 send GET /days host=clinic
+        w2 expect GET /days
+        w2 send 200 t
+        a2 expect 200 t""",
+    "shares are set through the API, and guarantees never add up to more than there is": """
+        admin send PUT /v1/tenants/single {"backend":"w1","share":{"weight":2,"guarantee":0.7}}
+        admin expect 200
+        admin send PUT /v1/tenants/clinic {"backend":"both","share":{"guarantee":0.4}}
+        admin expect 400 share.guarantee
+        admin send PUT /v1/tenants/clinic {"backend":"both","share":{"weight":0}}
+        admin expect 400 share.weight
+        admin send PUT /v1/tenants/clinic {"backend":"both","share":{"classes":{"none":1}}}
+        admin expect 400 share.classes.none""",
+    "a full table makes room by idle connections of the address that has most": """
+        with max_connections=3
+        a1 send cping
+        a1 expect cpong
+        a2 send cping
+        a2 expect cpong
+        a3 send GET /days host=clinic
+        w1 expect GET /days
+        a4 send cping source=127.0.0.2
+        a4 expect cpong
+        a1 expect closed
+        a5 send cping
+        a5 expect closed
+        w1 send 200 r
+        a3 expect 200 r""",
+    "a tenant's bound on connections holds for it alone": """
+        admin send PUT /v1/tenants/single {"backend":"w1","share":{"connections":1},"prefix":"/s","default_class":"day-view"}
+        admin expect 200
+        a1 send GET /s
+        w1 expect GET /s
+        w1 send 200 r
+        a1 expect 200 r
+        a2 send GET /s
+        a2 expect 503
+        a2 expect closed
+        a3 send GET /days host=clinic
+        w2 expect GET /days
+        w2 send 200 r
+        a3 expect 200 r""",
     # The administration API
     "a token is needed": """
         admin send GET /v1/status token=wrong
