--- a/reelusher/admin/api.py
+++ b/reelusher/admin/api.py
@@ -5,43 +5,33 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 from urllib.parse import parse_qsl
 
 from loguru import logger
 
+from reelusher.admin.tenant_api import Asked, Handler, Refused, Reply, TenantApi
 from reelusher.backends.workers import Pool
 from reelusher.config.operator import ACTIVATIONS, Admin
 from reelusher.config.table import ConfigError, Table
 from reelusher.core.owner import Core
 from reelusher.net import Address, Listener
-from reelusher.tenancy.lifecycle import DRAIN_US, State, WrongState
+from reelusher.tenancy.durable.journal import Broken
+from reelusher.tenancy.lifecycle import WrongState
 from reelusher.tenancy.registry import Tenants
-from reelusher.tenancy.store import save
+from reelusher.tenancy.store import Store
 from reelusher.wire import http1
 
 MOST_BODY = 1 << 18
-MOST_WITHIN_MS = 3_600_000  # a tenant that is removed is gone by then at the latest
 TIMEOUT_S = 30.0  # for the next request on a connection, and for one answer to be taken
 
-Reply = tuple[int, Any]
-
-
-class Refused(Exception):
-    """A request that is answered with an error."""
-
-    def __init__(self, status: int, text: str, field: str = "") -> None:
-        super().__init__(text)
-        self.status, self.field = status, field
-
-
 @dataclass(slots=True, frozen=True)
 class Parts:
     """What the API administers."""
 
     core: Core
     tenants: Tenants
+    store: Store
     pool: Pool
     status: Callable[[], dict[str, Any]]
     drain: Callable[[], bool]  # False: it drains already
@@ -52,19 +42,14 @@
 
     def __init__(self, config: Admin, parts: Parts) -> None:
         self._token = config.token.encode()
-        self._state = Path(config.state_file) if config.state_file else None
         self._parts = parts
         self._listener = Listener("admin", config.listen, parts.core.counters, self._serve)
         self.address = self._listener.address
-        self._routes: dict[tuple[str, str, bool], Callable[[str, Any], Reply]] = {
-            ("GET", "tenants", False): self._list, ("POST", "tenants", False): self._create,
-            ("GET", "tenants", True): self._show, ("PUT", "tenants", True): self._update,
-            ("DELETE", "tenants", True): self._delete, ("GET", "workers", False): self._workers,
-            ("POST", "tenants/suspend", True): self._suspend,
-            ("POST", "tenants/resume", True): self._resume, ("GET", "tenants/usage", True): self._usage,
-            ("GET", "workers", True): self._worker, ("PUT", "workers", True): self._activate,
+        self._routes: dict[tuple[str, str, bool], Handler] = {
+            ("GET", "workers", False): self._workers, ("GET", "workers", True): self._worker,
+            ("PUT", "workers", True): self._activate,
             ("GET", "status", False): self._status, ("GET", "counters", False): self._counters,
-            ("POST", "drain", False): self._drain}
+            ("POST", "drain", False): self._drain, **TenantApi(parts.core, parts.tenants, parts.store).routes}
 
     def start(self) -> None:
         """Start to listen."""
@@ -96,8 +81,7 @@
         self._parts.core.counters.add("admin.requests")
         try:
             self._authorize(message)
-            path, _, query = target.partition("?")
-            status, value = self._dispatch(method, path, message.body, query)
+            reply = self._dispatch(method, target, message)
         except Refused as error:
             extra = {"WWW-Authenticate": "Bearer"} if error.status == 401 else {}
             where = {"field": error.field} if error.field else {}
@@ -106,8 +90,8 @@
             logger.exception("admin: {} {} failed", method, target)
             return _response(500, {"error": "internal error"})
         if method not in ("GET", "HEAD"):
-            logger.info("admin: {} {} answered {}", method, target, status)
-        return _response(status, value)
+            logger.info("admin: {} {} answered {}", method, target, reply.status)
+        return _response(reply.status, reply.value, reply.headers)
 
     def _authorize(self, message: http1.Message) -> None:
         scheme, _, token = message.headers.get("authorization", "").partition(" ")
@@ -115,7 +99,8 @@
             self._parts.core.counters.add("admin.unauthorized")
             raise Refused(401, "a valid bearer token is needed")
 
-    def _dispatch(self, method: str, path: str, body: bytes, query: str) -> Reply:
+    def _dispatch(self, method: str, target: str, message: http1.Message) -> Reply:
+        path, _, query = target.partition("?")
         match path.strip("/").split("/"):
             case ["v1", kind]:
                 name = ""
@@ -129,115 +114,51 @@
         if react is None:
             known = any((kind, bool(name)) == key[1:] for key in self._routes)
             raise Refused(405 if known else 404, "no such method here" if known else "no such resource")
-        value: Any = dict(parse_qsl(query)) if method == "DELETE" else None
-        if method in ("POST", "PUT") and kind in ("tenants", "workers"):
+        value = None
+        if method in ("POST", "PUT", "PATCH") and kind in ("tenants", "workers"):
             try:
-                value = json.loads(body)
+                value = json.loads(message.body)
             except (ValueError, RecursionError) as error:
                 raise Refused(400, f"the body is not JSON: {error}") from None
         try:
-            return react(name, value)
+            return react(Asked(name, value, dict(parse_qsl(query)), message.headers))
         except ConfigError as error:
             raise Refused(400, str(error), error.key) from None
         except WrongState as error:
             raise Refused(409, str(error)) from None
-
-    # Tenants
-
-    def _list(self, _name: str, _value: Any) -> Reply:
-        tenants = self._parts.tenants
-        return 200, {"tenants": [tenants.shown(entry) for entry in tenants.entries()]}
-
-    def _show(self, name: str, _value: Any) -> Reply:
-        entry = self._parts.tenants.entry(name)
-        if entry is None:
-            raise Refused(404, f"no tenant is named {name!r}")
-        return 200, self._parts.tenants.shown(entry)
-
-    def _create(self, _name: str, value: Any) -> Reply:
-        tenants = self._parts.tenants
-        tenant = tenants.read(value)
-
-        def create() -> bool:
-            return tenants.get(tenant.name) is None and tenants.put(tenant)
-
-        if not self._change(create):
-            raise Refused(409, f"a tenant is named {tenant.name!r} already", "name")
-        return 201, tenant.to_json()
-
-    def _update(self, name: str, value: Any) -> Reply:
-        tenants = self._parts.tenants
-        tenant = tenants.read(value, name)
-
-        def update() -> bool:
-            return tenants.get(name) is not None and not tenants.put(tenant)
-
-        if not self._change(update):
-            raise Refused(404, f"no tenant is named {name!r}")
-        return 200, tenant.to_json()
-
-    def _delete(self, name: str, query: Any) -> Reply:
-        within = query.get("within_ms", str(DRAIN_US // 1000))
-        if not (within.isascii() and within.isdigit() and int(within) <= MOST_WITHIN_MS):
-            raise Refused(400, f"a whole number from 0 to {MOST_WITHIN_MS} is wanted", "within_ms")
-        if not self._change(lambda: self._parts.tenants.delete(name, int(within) * 1000) is not None):
-            raise Refused(404, f"no tenant is named {name!r}")
-        left = self._parts.tenants.entry(name)
-        return (204, None) if left is None else (202, self._parts.tenants.shown(left))
-
-    def _suspend(self, name: str, _value: Any) -> Reply:
-        return self._move(name, State.SUSPENDED)
-
-    def _resume(self, name: str, _value: Any) -> Reply:
-        return self._move(name, State.ACTIVE)
-
-    def _move(self, name: str, to: State) -> Reply:
-        if not self._change(lambda: self._parts.tenants.move(name, to) is not None):
-            raise Refused(404, f"no tenant is named {name!r}")
-        return self._show(name, None)
-
-    def _usage(self, name: str, _value: Any) -> Reply:
-        found = self._parts.core.ask(lambda: self._parts.tenants.usage(name))
-        if found is None:
-            raise Refused(404, f"no tenant is named {name!r}")
-        return 200, found
-
-    def _change(self, change: Callable[[], bool]) -> bool:
-        """Let the owner make a change, and keep it for the next start."""
-        done: bool = self._parts.core.ask(change)
-        if done and self._state is not None:
-            save(self._parts.tenants.entries(), self._state)
-        return done
+        except Broken as error:  # a full disk, say: nothing was changed
+            logger.error("admin: {} {} was not made durable: {}", method, target, error)
+            raise Refused(507, f"not made durable, so not made: {error}") from None
 
     # The rest
 
-    def _workers(self, _name: str, _value: Any) -> Reply:
-        return 200, {"workers": self._parts.pool.status()}
+    def _workers(self, _asked: Asked) -> Reply:
+        return Reply(200, {"workers": self._parts.pool.status()})
 
-    def _worker(self, name: str, _value: Any) -> Reply:
-        found = [worker for worker in self._parts.pool.status() if worker["name"] == name]
+    def _worker(self, asked: Asked) -> Reply:
+        found = [worker for worker in self._parts.pool.status() if worker["name"] == asked.name]
         if not found:
-            raise Refused(404, f"no worker is named {name!r}")
-        return 200, found[0]
+            raise Refused(404, f"no worker is named {asked.name!r}")
+        return Reply(200, found[0])
 
-    def _activate(self, name: str, value: Any) -> Reply:
-        table = Table(value)
+    def _activate(self, asked: Asked) -> Reply:
+        table = Table(asked.value)
         table.only("activation")
         activation = table.word("activation", ACTIVATIONS)
-        if not self._parts.core.ask(lambda: self._parts.pool.activate(name, activation)):
-            raise Refused(404, f"no worker is named {name!r}")
-        return self._worker(name, None)
+        if not self._parts.core.ask(lambda: self._parts.pool.activate(asked.name, activation)):
+            raise Refused(404, f"no worker is named {asked.name!r}")
+        return self._worker(asked)
 
-    def _status(self, _name: str, _value: Any) -> Reply:
-        return 200, self._parts.core.ask(self._parts.status)
+    def _status(self, _asked: Asked) -> Reply:
+        return Reply(200, self._parts.core.ask(self._parts.status))
 
-    def _counters(self, _name: str, _value: Any) -> Reply:
-        return 200, self._parts.core.counters.snapshot()
+    def _counters(self, _asked: Asked) -> Reply:
+        return Reply(200, self._parts.core.counters.snapshot())
 
-    def _drain(self, _name: str, _value: Any) -> Reply:
+    def _drain(self, _asked: Asked) -> Reply:
         if not self._parts.drain():
             raise Refused(409, "it drains already")
-        return 202, {"draining": True}
+        return Reply(202, {"draining": True})
 
 
 def _response(status: int, value: Any, headers: dict[str, str] | None = None) -> bytes:
--- /dev/null
+++ b/reelusher/admin/tenant_api.py
@@ -0,0 +1,228 @@
+"""Tenants over the administration API: what each call asks for, checks and changes.
+
+A change is checked, made durable and applied while no other change can come in between. Each tenant has a
+revision, the number of the change that made it as it is; `ETag` and `If-Match` carry it.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from reelusher.config.operator import Tenant
+from reelusher.core.owner import Core
+from reelusher.tenancy.durable.state import Kept, shown
+from reelusher.tenancy.lifecycle import DRAIN_US, State, WrongState
+from reelusher.tenancy.registry import Tenants
+from reelusher.tenancy.store import Store
+
+MOST_WITHIN_MS = 3_600_000  # a tenant that is removed is gone by then at the latest
+MOST_PAGE = 1000
+MOST_KEY = 128  # characters of an idempotency key
+OPERATOR = "operator"  # who made a change, in the audit trail
+
+
+class Refused(Exception):
+    """A request that is answered with an error."""
+
+    def __init__(self, status: int, text: str, field: str = "") -> None:
+        super().__init__(text)
+        self.status, self.field = status, field
+
+
+@dataclass(slots=True, frozen=True)
+class Asked:
+    """One call."""
+
+    name: str
+    value: Any
+    query: Mapping[str, str]
+    headers: Mapping[str, str]  # names in lower case
+
+    def whole(self, key: str, default: int, most: int, least: int = 0) -> int:
+        """Read a whole number from the query."""
+        text = self.query.get(key, str(default))
+        if not (text.isascii() and text.isdigit() and len(text) < 16 and least <= int(text) <= most):
+            raise Refused(400, f"a whole number from {least} to {most} is wanted", key)
+        return int(text)
+
+    @property
+    def dry(self) -> bool:
+        """Tell whether it only wants to know what would change."""
+        text = self.query.get("dry_run", "false")
+        if text not in ("true", "false"):
+            raise Refused(400, "true or false is wanted", "dry_run")
+        return text == "true"
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """The answer to a call."""
+
+    status: int
+    value: Any = None
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+Handler = Callable[[Asked], Reply]
+
+
+def merged(value: Any, patch: Any) -> Any:
+    """Apply a JSON merge patch (RFC 7396)."""
+    if not isinstance(patch, dict):
+        return patch
+    made = dict(value) if isinstance(value, dict) else {}
+    for key, part in patch.items():
+        if part is None:
+            made.pop(key, None)
+        else:
+            made[key] = merged(made.get(key), part)
+    return made
+
+
+class TenantApi:
+    """The calls that have to do with tenants, by method, kind and whether a name is given."""
+
+    def __init__(self, core: Core, tenants: Tenants, store: Store) -> None:
+        self._core = core
+        self._tenants = tenants
+        self._store = store
+        self.routes: dict[tuple[str, str, bool], Handler] = {
+            ("GET", "tenants", False): self._list, ("POST", "tenants", False): self._create,
+            ("GET", "tenants", True): self._show, ("PUT", "tenants", True): self._replace,
+            ("PATCH", "tenants", True): self._patch, ("DELETE", "tenants", True): self._delete,
+            ("POST", "tenants/suspend", True): self._suspend, ("POST", "tenants/resume", True): self._resume,
+            ("GET", "tenants/usage", True): self._usage, ("GET", "audit", False): self._audit}
+
+    # Looking
+
+    def _list(self, asked: Asked) -> Reply:
+        limit, after = asked.whole("limit", MOST_PAGE, MOST_PAGE, 1), asked.query.get("after", "")
+        entries = sorted((entry for entry in self._tenants.entries() if entry.tenant.name > after),
+                         key=lambda entry: entry.tenant.name)
+        page = entries[:limit]
+        more = {"next": page[-1].tenant.name} if len(entries) > limit else {}
+        return Reply(200, {"tenants": [self._tenants.shown(entry) for entry in page], **more})
+
+    def _show(self, asked: Asked) -> Reply:
+        entry = self._tenants.entry(asked.name)
+        if entry is None:
+            raise self._nobody(asked.name)
+        kept = self._store.state.tenants.get(asked.name)
+        return Reply(200, self._tenants.shown(entry), _tag(kept))
+
+    def _usage(self, asked: Asked) -> Reply:
+        found = self._core.ask(lambda: self._tenants.usage(asked.name))
+        if found is None:
+            raise self._nobody(asked.name)
+        return Reply(200, found)
+
+    def _audit(self, asked: Asked) -> Reply:
+        limit, after = asked.whole("limit", 100, MOST_PAGE, 1), asked.whole("after", 0, 1 << 53)
+        trail = [one for one in list(self._store.state.audit) if one.number > after]
+        page = trail[:limit]
+        more = {"next": page[-1].number} if len(trail) > limit else {}
+        return Reply(200, {"changes": [{
+            "number": one.number, "at_ms": one.at_ms, "who": one.who, "change": one.op, "tenant": one.name,
+            "before": one.before, "after": one.after} for one in page], **more})
+
+    # Changing
+
+    def _create(self, asked: Asked) -> Reply:
+        key = asked.headers.get("idempotency-key", "")
+        if len(key) > MOST_KEY:
+            raise Refused(400, f"more than {MOST_KEY} characters", "Idempotency-Key")
+        with self._store.changing():
+            made_before = self._store.state.keys.get(key) if key else None
+            tenant = self._tenants.read(asked.value)
+            if made_before is not None:
+                return self._again(made_before, tenant)
+            if self._tenants.get(tenant.name) is not None:
+                raise Refused(409, f"a tenant is named {tenant.name!r} already", "name")
+            if asked.dry:
+                return _would(None, Kept(tenant.to_json(), State.ACTIVE.value, 0))
+            kept = self._store.change("put", tenant.name, OPERATOR, tenant.to_json(), key=key)
+            self._core.ask(lambda: self._tenants.put(tenant))
+            return Reply(201, shown(kept), _tag(kept))
+
+    def _again(self, name: str, tenant: Tenant) -> Reply:
+        """Answer a call whose key made a tenant before: as then, if it still asks for the same."""
+        kept = self._store.state.tenants.get(name)
+        if tenant.name != name:
+            raise Refused(422, f"this key was used to make {name!r}", "Idempotency-Key")
+        if kept is None:
+            raise Refused(409, f"{name!r} was made with this key, and has been removed", "Idempotency-Key")
+        return Reply(201, shown(kept), {**_tag(kept), "Idempotent-Replayed": "true"})
+
+    def _replace(self, asked: Asked) -> Reply:
+        with self._store.changing():
+            self._current(asked)
+            return self._put(asked, self._tenants.read(asked.value, asked.name))
+
+    def _patch(self, asked: Asked) -> Reply:
+        if not isinstance(asked.value, dict):
+            raise Refused(400, "a merge patch is an object")
+        with self._store.changing():
+            kept = self._current(asked)
+            return self._put(asked, self._tenants.read(merged(kept.tenant, asked.value), asked.name))
+
+    def _put(self, asked: Asked, tenant: Tenant) -> Reply:
+        before = self._store.state.tenants[asked.name]
+        if asked.dry:
+            return _would(before, Kept(tenant.to_json(), before.state, before.revision))
+        kept = self._store.change("put", asked.name, OPERATOR, tenant.to_json())
+        self._core.ask(lambda: self._tenants.put(tenant))
+        return Reply(200, shown(kept), _tag(kept))
+
+    def _suspend(self, asked: Asked) -> Reply:
+        return self._move(asked, State.SUSPENDED)
+
+    def _resume(self, asked: Asked) -> Reply:
+        return self._move(asked, State.ACTIVE)
+
+    def _move(self, asked: Asked, to: State) -> Reply:
+        with self._store.changing():
+            before = self._current(asked)
+            if asked.dry:
+                return _would(before, Kept(before.tenant, to.value, before.revision))
+            kept = self._store.change("state", asked.name, OPERATOR, state=to.value)
+            self._core.ask(lambda: self._tenants.move(asked.name, to))
+            return Reply(200, shown(kept), _tag(kept))
+
+    def _delete(self, asked: Asked) -> Reply:
+        within_us = asked.whole("within_ms", DRAIN_US // 1000, MOST_WITHIN_MS) * 1000
+        with self._store.changing():
+            entry = self._tenants.entry(asked.name)
+            if entry is None or entry.state is not State.DRAINING:
+                before = self._current(asked)
+                if asked.dry:
+                    return _would(before, None)
+                self._store.change("remove", asked.name, OPERATOR)
+            self._core.ask(lambda: self._tenants.delete(asked.name, within_us))
+        left = self._tenants.entry(asked.name)
+        return Reply(204) if left is None else Reply(202, self._tenants.shown(left))
+
+    def _current(self, asked: Asked) -> Kept:
+        """Return what is kept of a tenant that may be changed, and is as the caller thinks."""
+        entry = self._tenants.entry(asked.name)
+        if entry is None:
+            raise self._nobody(asked.name)
+        kept = self._store.state.tenants.get(asked.name)
+        if kept is None:
+            raise WrongState(f"{asked.name!r} is being removed")
+        wanted = [tag.strip() for tag in asked.headers.get("if-match", "*").split(",")]
+        if "*" not in wanted and _tag(kept)["ETag"] not in wanted:
+            raise Refused(412, f"{asked.name!r} has been changed: it is {_tag(kept)['ETag']} now", "If-Match")
+        return kept
+
+    @staticmethod
+    def _nobody(name: str) -> Refused:
+        return Refused(404, f"no tenant is named {name!r}")
+
+
+def _tag(kept: Kept | None) -> dict[str, str]:
+    return {} if kept is None else {"ETag": f'"{kept.revision}"'}
+
+
+def _would(before: Kept | None, after: Kept | None) -> Reply:
+    """Say what a change would do."""
+    return Reply(200, {"dry_run": True, "before": shown(before), "after": shown(after)}, _tag(before))
--- a/reelusher/config/operator.py
+++ b/reelusher/config/operator.py
@@ -127,7 +127,8 @@
 
     listen: Address
     token: str
-    state_file: str  # where changed tenants are kept; empty: nowhere
+    state_file: str  # where changed tenants were kept before there was a journal; empty: nowhere
+    state_dir: str  # where they are kept; empty: beside the state file, if that is named, else nowhere
 
 
 @dataclass(slots=True, frozen=True)
@@ -173,8 +174,10 @@
 
 
 def _read_admin(table: Table) -> Admin:
-    table.only("listen", "token", "state_file")
-    made = Admin(table.address("listen"), table.text("token"), table.text("state_file", " ").strip())
+    table.only("listen", "token", "state_file", "state_dir")
+    old = table.text("state_file", " ").strip()
+    made = Admin(table.address("listen"), table.text("token"), old,
+                 table.text("state_dir", old + ".d" if old else " ").strip())
     if not is_loopback(made.listen[0]):
         raise ConfigError(table.path("listen"), "the administration API listens on loopback only")
     if len(made.token) < 16 or not made.token.isascii():
--- /dev/null
+++ b/reelusher/lab/load.py
@@ -0,0 +1,178 @@
+"""Open-loop load over AJP13: requests come at random times of their own, whatever became of those before.
+
+Latency counts from when a request was to come, not from when a connection was free for it, so a slow node
+can't hide what it does to those that wait (coordinated omission).
+"""
+
+import asyncio
+import contextlib
+import itertools
+import random
+import time
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from reelusher.lab.plan import Caller, Plan, Worker
+from reelusher.wire import ajp13
+
+MOST_US = 120_000_000  # a latency above that is counted as that
+LAST_S = 15.0  # after the last request, for answers
+
+
+@dataclass(slots=True)
+class Tally:
+    """What became of one caller's requests. Latencies are microseconds."""
+
+    counts: Counter[str] = field(default_factory=Counter)
+    latency: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, MOST_US, 3))
+
+
+class Line:
+    """One connection to the node."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.packets = ajp13.Packets(ajp13.TO_SERVER, ajp13.MOST_PACKET)
+
+    async def ask(self, data: bytes) -> tuple[int, bool]:
+        """Send a request; return the status of its answer, and whether the connection may be used again."""
+        self.writer.write(data)
+        status = 0
+        while came := await self.reader.read(1 << 16):
+            for payload in self.packets.feed(came):
+                match ajp13.read_reply(payload):
+                    case ajp13.ResponseHead() as head:
+                        status = head.status
+                    case ajp13.ResponseEnd(reuse):
+                        return status, reuse
+        raise ConnectionError("closed without an answer")
+
+
+class Client:
+    """One caller."""
+
+    def __init__(self, plan: Plan, caller: Caller, number: int) -> None:
+        self.plan, self.caller = plan, caller
+        self.random = random.Random(plan.seed * 1000 + number)
+        self.tally = Tally()
+        self.idle: deque[Line] = deque()
+        self.places = asyncio.Semaphore(caller.connections)
+        self.keys = itertools.count(1)
+        self.began = 0.0
+
+    async def play(self) -> None:
+        """Ask until the end of the run, and wait for what is out then."""
+        self.began = time.monotonic()
+        at, end = self.caller.begins_s, min(self.plan.seconds, self.caller.ends_s)
+        tasks = set[asyncio.Task[None]]()
+        while (at := at + self.random.expovariate(self.caller.rate)) < end:
+            await asyncio.sleep(max(0.0, self.began + at - time.monotonic()))
+            task = asyncio.ensure_future(self.request(at))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        if tasks:
+            await asyncio.wait(tasks, timeout=LAST_S)
+        for task in tasks:
+            task.cancel()
+        for line in self.idle:
+            line.writer.close()
+
+    async def request(self, at: float) -> None:
+        """Make one request, and again after a refusal as often as this caller does."""
+        key = next(self.keys)
+        if self.caller.repeats and self.random.random() < self.caller.repeats:
+            key = self.random.randint(1, key)
+        data, counted = self.written(key), at >= self.plan.warm_up_s
+        self.count("asked", counted)
+        while True:
+            status = await self.attempt(data)
+            self.count("tries", counted)
+            if status != 503 or self.random.random() >= self.caller.retries:
+                break
+            await asyncio.sleep(self.caller.retry_ms / 1000)
+        took_us = int((time.monotonic() - self.began - at) * 1e6)
+        self.count({200: "served", 503: "refused", 0: "lost"}.get(status, "failed"), counted)
+        if status == 200 and counted:
+            self.tally.latency.record_value(min(max(took_us, 1), MOST_US))
+            self.count("in_time", took_us <= self.caller.aim_ms * 1000)
+
+    def count(self, what: str, counted: bool) -> None:
+        """Count, unless it belongs to the warm-up."""
+        self.tally.counts[what] += counted
+
+    async def attempt(self, data: bytes) -> int:
+        """Make one try; 0 where no answer came."""
+        async with self.places:
+            try:
+                line = self.idle.pop() if self.idle else Line(
+                    *await asyncio.open_connection(*self.plan.target))
+                status, reuse = await line.ask(data)
+            except (OSError, ajp13.Malformed):
+                return 0
+            if reuse and self.caller.keeps:
+                self.idle.append(line)
+            else:
+                line.writer.close()
+            return status
+
+    def written(self, key: int) -> bytes:
+        """Write a request."""
+        caller = self.caller
+        forward = ajp13.Forward(caller.method, caller.path, server_name=caller.host)
+        if caller.keyed:
+            forward.headers.append(("x-request-key", f"{caller.name}-{self.plan.seed}-{key}"))
+        if not caller.body_bytes:
+            return ajp13.write_forward(forward)
+        forward.headers.append(("content-length", str(caller.body_bytes)))
+        return ajp13.write_forward(forward) + ajp13.write_body(b"b" * caller.body_bytes)
+
+
+class StandIn:
+    """A worker that has so many slots, and holds a request in one for so long."""
+
+    def __init__(self, worker: Worker) -> None:
+        self.worker = worker
+        self.slots = asyncio.Semaphore(worker.slots)
+        self.done = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer one connection's requests until it closes."""
+        packets = ajp13.Packets(ajp13.TO_CONTAINER, ajp13.MOST_PACKET)
+        missing = 0
+        with contextlib.suppress(OSError, ajp13.Malformed):
+            while came := await reader.read(1 << 16):
+                for payload in packets.feed(came):
+                    if payload == bytes([ajp13.CPING]):
+                        writer.write(ajp13.write_reply(ajp13.Pong()))
+                        continue
+                    if missing:
+                        missing -= len(ajp13.read_body(payload))
+                    else:
+                        missing = ajp13.read_forward(payload).body_size() or 0
+                    if missing <= 0:
+                        await self.run(writer)
+        writer.close()
+
+    async def run(self, writer: asyncio.StreamWriter) -> None:
+        """Hold a slot, then answer."""
+        async with self.slots:
+            await asyncio.sleep(self.worker.service_ms / 1000)
+        self.done += 1
+        headers = (("Content-Type", "text/plain"), ("Content-Length", "2"))
+        writer.write(ajp13.write_response(ajp13.ResponseHead(200, "OK", headers), b"ok", True,
+                                          ajp13.DEFAULT_PACKET))
+
+
+async def play(plan: Plan) -> tuple[dict[str, Tally], int]:
+    """Play a plan; return what became of each caller's requests, and the runs that workers did."""
+    stand_ins = [StandIn(worker) for worker in plan.workers]
+    servers = [await asyncio.start_server(one.serve, *one.worker.listen) for one in stand_ins]
+    clients = [Client(plan, caller, number) for number, caller in enumerate(plan.callers)]
+    try:
+        await asyncio.gather(*(client.play() for client in clients))
+    finally:
+        for server in servers:
+            server.close()
+    return {client.caller.name: client.tally for client in clients}, sum(one.done for one in stand_ins)
--- /dev/null
+++ b/reelusher/lab/plan.py
@@ -0,0 +1,100 @@
+"""What a load run does, read from TOML; every fault is a `ConfigError` that names the key."""
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from reelusher.config.operator import is_loopback
+from reelusher.config.table import Address, ConfigError, Table
+
+
+@dataclass(slots=True, frozen=True)
+class Caller:
+    """One tenant's web server: what it asks for, how often, over which connections."""
+
+    name: str
+    host: str  # virtual host that requests name
+    rate: float  # requests each second, at random times, whatever comes back
+    method: str
+    path: str
+    body_bytes: int
+    keyed: bool  # each request has a key of its own
+    repeats: float  # part of keyed requests that repeat an earlier one
+    connections: int  # open at once at most
+    keeps: bool  # connections stay open between requests
+    retries: float  # part of refusals that come again
+    retry_ms: float
+    aim_ms: float  # answers within it count as in time
+    weight: float  # what a fair share is measured by
+    begins_s: float
+    ends_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Worker:
+    """A stand-in for a container: so many requests at once, each for so long."""
+
+    listen: Address
+    slots: int
+    service_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """One run."""
+
+    target: Address  # the node's AJP front
+    seconds: float
+    warm_up_s: float  # requests that come before are not counted
+    seed: int
+    callers: tuple[Caller, ...]
+    workers: tuple[Worker, ...]
+
+
+def _loopback(table: Table, key: str) -> Address:
+    address = table.address(key)
+    if not is_loopback(address[0]):
+        raise ConfigError(table.path(key), "the laboratory talks to loopback only")
+    return address
+
+
+def _caller(table: Table, seconds: float) -> Caller:
+    table.only("name", "host", "rate", "method", "path", "body_bytes", "keyed", "repeats", "connections",
+               "keeps", "retries", "retry_ms", "aim_ms", "weight", "begins_s", "ends_s")
+    return Caller(
+        name=table.text("name"), host=table.text("host", table.text("name")),
+        rate=table.number("rate", None, 0.001, 100_000), method=table.text("method", "GET"),
+        path=table.text("path", "/"), body_bytes=table.whole("body_bytes", 0, 0, 8186),
+        keyed=table.flag("keyed", False), repeats=table.number("repeats", 0.0, 0.0, 1.0),
+        connections=table.whole("connections", 32, 1, 10_000), keeps=table.flag("keeps", True),
+        retries=table.number("retries", 0.0, 0.0, 0.99), retry_ms=table.number("retry_ms", 50.0, 1.0),
+        aim_ms=table.number("aim_ms", 500.0, 1.0), weight=table.number("weight", 1.0, 0.001),
+        begins_s=table.number("begins_s", 0.0), ends_s=table.number("ends_s", seconds))
+
+
+def parse(value: Any) -> Plan:
+    """Check a plan."""
+    table = Table(value)
+    table.only("run", "callers", "workers")
+    run = table.table("run")
+    run.only("target", "seconds", "warm_up_s", "seed")
+    seconds = run.number("seconds", 20.0, 0.1, 3600)
+    workers = []
+    for entry in table.tables("workers"):
+        entry.only("listen", "slots", "service_ms")
+        workers.append(Worker(_loopback(entry, "listen"), entry.whole("slots", 4, 1, 10_000),
+                              entry.number("service_ms", 100.0, 0.0, 600_000)))
+    callers = tuple(_caller(entry, seconds) for entry in table.tables("callers"))
+    if not callers:
+        raise ConfigError("callers", "at least one is needed")
+    return Plan(_loopback(run, "target"), seconds, run.number("warm_up_s", 1.0), run.whole("seed", 1),
+                callers, tuple(workers))
+
+
+def read(path: Path) -> Plan:
+    """Read a plan from a file."""
+    try:
+        return parse(tomllib.loads(path.read_text()))
+    except (OSError, ValueError) as error:
+        raise ConfigError(str(path), str(error)) from None
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -5,7 +5,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Protocol
@@ -17,7 +17,7 @@
 from reelusher.backends.vault import Vault
 from reelusher.backends.workers import BalancedRunner, Pool
 from reelusher.config import PLATFORM_TENANT, Config, ConfigError, load
-from reelusher.config.operator import Operator, Tenant, backend_names
+from reelusher.config.operator import Operator, backend_names
 from reelusher.core.clock import Clock
 from reelusher.core.counters import Counters
 from reelusher.core.model import DrainOrder, Message, Runner
@@ -98,17 +98,16 @@
 
         backends = backend_names(own.workers, own.balancers, self.config.platform is not None)
         assert self._shares is not None
-        found: Iterable[tuple[Tenant, State]] | None = None
-        if own.admin and own.admin.state_file:
-            found = store.saved(Path(own.admin.state_file), own.class_names, backends)
-        if found is None:
-            found = [(tenant, State.ACTIVE) for tenant in own.tenants]
+        folder, old = (own.admin.state_dir, own.admin.state_file) if own.admin else ("", "")
+        kept = store.opened(Path(folder) if folder else None, Path(old) if old else None, own.tenants,
+                            own.class_names, backends)
+        found = [(tenant, State(state)) for tenant, state in kept.tenants(own.class_names, backends)]
         tenants = Tenants(found, own.class_names, self._pool.runner, self.core, self._shares, backends)
         if own.ajp:
             self.fronts["ajp"] = AjpFront(
                 self.core, replace(own.ajp, max_connections=self._most_ajp()), tenants)
         if own.admin:
-            self.admin = AdminApi(own.admin, Parts(self.core, tenants, self._pool, self.status,
+            self.admin = AdminApi(own.admin, Parts(self.core, tenants, kept, self._pool, self.status,
                                                    self.ask_to_leave))
 
     @staticmethod
--- /dev/null
+++ b/reelusher/tenancy/durable/state.py
@@ -0,0 +1,119 @@
+"""What is kept of the tenants, free of I/O: the changes, what each makes of the state, and its versions."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+VERSION = 1
+MOST_AUDIT = 1000  # changes whose trail is kept
+MOST_KEYS = 1000  # idempotency keys that are remembered, the newest
+
+
+class Unreadable(Exception):
+    """A change or a state is not of a form that this version knows; the text names the field."""
+
+
+class Change(msgspec.Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True):
+    """One change, as the journal keeps it."""
+
+    op: str  # put, state or remove
+    name: str
+    who: str
+    at_ms: int
+    tenant: dict[str, Any] | None = None  # of a put
+    state: str = "active"
+    key: str = ""  # idempotency key of the request that asked for it
+    v: int = VERSION
+
+
+class Kept(msgspec.Struct, omit_defaults=True, forbid_unknown_fields=True):
+    """One tenant."""
+
+    tenant: dict[str, Any]
+    state: str
+    revision: int  # number of the change that made it so
+
+
+class Trail(msgspec.Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True):
+    """One entry of the audit trail."""
+
+    number: int
+    op: str
+    name: str
+    who: str
+    at_ms: int
+    before: dict[str, Any] | None = None
+    after: dict[str, Any] | None = None
+
+
+class State(msgspec.Struct, forbid_unknown_fields=True):
+    """All that is kept. `apply` is the only thing that changes it."""
+
+    tenants: dict[str, Kept] = {}
+    audit: list[Trail] = []
+    keys: dict[str, str] = {}  # idempotency keys, oldest first, and the tenant that each made
+    v: int = VERSION
+
+    def apply(self, number: int, change: Change) -> None:
+        """Make a change; raises `Unreadable` where it can't follow from this state."""
+        before = self.tenants.get(change.name)
+        if change.op == "put" and change.tenant is not None:
+            state = before.state if before else change.state
+            self.tenants[change.name] = Kept(change.tenant, state, number)
+        elif change.op == "state" and before is not None:
+            self.tenants[change.name] = Kept(before.tenant, change.state, number)
+        elif change.op == "remove" and before is not None:
+            del self.tenants[change.name]
+        else:
+            raise Unreadable(f"change {number}: {change.op!r} of {change.name!r} does not fit the state")
+        after = self.tenants.get(change.name)
+        self.audit.append(Trail(number, change.op, change.name, change.who, change.at_ms,
+                                shown(before), shown(after)))
+        del self.audit[:-MOST_AUDIT]
+        if change.key:
+            self.keys.pop(change.key, None)
+            self.keys[change.key] = change.name
+            while len(self.keys) > MOST_KEYS:
+                del self.keys[next(iter(self.keys))]
+
+
+def shown(kept: Kept | None) -> dict[str, Any] | None:
+    """Return a tenant as the trail and the API show it."""
+    return None if kept is None else {**kept.tenant, "state": kept.state}
+
+
+# By the version that something was written in, what makes the next version of it. There is one so far.
+MIGRATIONS: dict[int, Callable[[dict[str, Any]], dict[str, Any]]] = {}
+
+
+def _decode(payload: bytes, kind: Any) -> Any:
+    try:
+        value = msgspec.json.decode(payload)
+        if not isinstance(value, dict):
+            raise msgspec.ValidationError("an object is wanted")
+        version = value.get("v", VERSION)
+        if not isinstance(version, int) or not 1 <= version <= VERSION:
+            raise Unreadable(f"version {version!r} is not known here, {VERSION} is the newest")
+        for step in range(version, VERSION):
+            value = MIGRATIONS[step](value)
+        return msgspec.convert(value, kind)
+    except msgspec.MsgspecError as error:
+        raise Unreadable(str(error)) from None
+
+
+def read_state(payload: bytes) -> State:
+    """Read a snapshot's payload; raises `Unreadable`."""
+    made: State = _decode(payload, State)
+    return made
+
+
+def read_change(payload: bytes) -> Change:
+    """Read a journal's payload; raises `Unreadable`."""
+    made: Change = _decode(payload, Change)
+    return made
+
+
+def write(value: State | Change) -> bytes:
+    """Write a payload. It is JSON, so that a person can read it, and its last byte is never zero."""
+    return msgspec.json.encode(value)
--- a/reelusher/tenancy/store.py
+++ b/reelusher/tenancy/store.py
@@ -1,30 +1,118 @@
-"""The tenants' state file."""
+"""The tenants' state: in memory, and where the operator wants it in a journal on the disk.
+
+Changes come one at a time, from threads of the administration API. The owner applies a change only after it
+is durable, and an answer goes out only after that.
+"""
 
 import json
-import os
-from collections.abc import Iterable
+import threading
+import time
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
+from typing import Any
+
+from loguru import logger
 
 from reelusher.config.operator import Tenant, read_tenant
 from reelusher.config.table import ConfigError, Table
-from reelusher.tenancy.lifecycle import Entry, State
+from reelusher.tenancy.durable.disk import Disk, Folder
+from reelusher.tenancy.durable.journal import Broken, Journal
+from reelusher.tenancy.durable.state import Change, Kept, State, Unreadable, read_change, read_state, write
+
+MIGRATED = ".migrated"  # what the old state file is called once its tenants are in the journal
+BY_FILE = "the operator's file"
+
+
+class Store:
+    """State and journal. `changing` is held round each change, from the check to the answer."""
+
+    def __init__(self, disk: Disk | None, wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000
+                 ) -> None:
+        """Read what is there; raises `Broken`. Without a disk the state lasts as long as the process."""
+        self.state = State()
+        self.fresh = True  # nothing was kept
+        self._lock = threading.RLock()
+        self._wall_ms = wall_ms
+        self._number = 0
+        self._journal = None if disk is None else Journal(disk, lambda: write(self.state))
+        if self._journal is not None:
+            self._recover(self._journal)
+
+    def _recover(self, journal: Journal) -> None:
+        kept, changes = journal.recover()
+        try:
+            if kept is not None:
+                self.state = read_state(kept)
+            for number, payload in changes:
+                self.state.apply(number, read_change(payload))
+        except Unreadable as error:
+            raise Broken(str(error)) from None
+        self._number = journal.number
+        self.fresh = kept is None and not changes
 
+    @contextmanager
+    def changing(self) -> Iterator[None]:
+        """Keep others from changing the state: what was checked still holds when it is changed."""
+        with self._lock:
+            yield
 
-def save(entries: Iterable[Entry], path: Path) -> None:
-    """Write tenants to the state file, so that a restart finds them: whole or not at all."""
-    fresh = path.with_name(path.name + ".new")
-    fresh.write_text(json.dumps({"tenants": [
-        entry.tenant.to_json() for entry in entries if entry.state is not State.DRAINING]}, indent=1) + "\n")
-    os.replace(fresh, path)
+    def change(self, op: str, name: str, who: str, tenant: dict[str, Any] | None = None,
+               state: str = "active", key: str = "") -> Kept | None:
+        """Make one change durable and return what is kept of the tenant then. Raises `Broken`."""
+        with self._lock:
+            made = Change(op, name, who, self._wall_ms(), tenant, state, key)
+            self._number = self._journal.append(write(made)) if self._journal else self._number + 1
+            self.state.apply(self._number, made)
+            if self._journal is not None:
+                self._journal.compact_if_due()
+            return self.state.tenants.get(name)
+
+    def take_over(self, tenants: Iterable[Tenant], who: str = BY_FILE) -> None:
+        """Begin with these tenants, all or none of them, where nothing was kept. Raises `Broken`."""
+        for tenant in tenants:
+            self._number += 1
+            self.state.apply(self._number, Change("put", tenant.name, who, self._wall_ms(), tenant.to_json()))
+        if self._journal is not None:
+            self._journal.number = self._number
+            if not self._journal.compact():
+                raise Broken("the first snapshot could not be written")
+
+    def tenants(self, class_names: tuple[str, ...], backends: frozenset[str]) -> list[tuple[Tenant, str]]:
+        """Return the kept tenants, checked against the configuration, with their states."""
+        return [(read_tenant(Table(kept.tenant, f"state.{name}"), class_names, backends), kept.state)
+                for name, kept in self.state.tenants.items()]
+
+
+def opened(folder: Path | None, old: Path | None, tenants: Iterable[Tenant], class_names: tuple[str, ...],
+           backends: frozenset[str]) -> Store:
+    """Open the state that an operator's file names; a fault is a `ConfigError` that says where it lies.
+
+    Where nothing was kept it begins with the tenants of the old state file, if there is one, which is then
+    renamed, or else with those of the operator's file.
+    """
+    try:
+        store = Store(None if folder is None else Folder(folder))
+        if store.fresh:
+            from_old = None if old is None else read_old(old, class_names, backends)
+            if from_old is None:
+                store.take_over(tenants)
+            else:
+                store.take_over(from_old, str(old))
+        if old is not None and folder is not None and old.is_file():
+            old.rename(old.with_name(old.name + MIGRATED))
+            logger.info("state: the tenants of {} are kept in {} from now on", old, folder)
+        return store
+    except (Broken, OSError) as error:
+        raise ConfigError("admin.state_dir" if old is None else "admin.state_file", str(error)) from None
 
 
-def saved(path: Path, class_names: tuple[str, ...], backends: frozenset[str]
-          ) -> list[tuple[Tenant, State]] | None:
-    """Read the state file; None where there is none yet."""
+def read_old(path: Path, class_names: tuple[str, ...], backends: frozenset[str]) -> list[Tenant] | None:
+    """Read the state file of versions before the journal; None where there is none."""
     if not path.exists():
         return None
     try:
         table = Table(json.loads(path.read_text()), str(path))
     except (OSError, ValueError) as error:
         raise ConfigError("admin.state_file", str(error)) from None
-    return [(read_tenant(entry, class_names, backends), State.ACTIVE) for entry in table.tables("tenants")]
+    return [read_tenant(entry, class_names, backends) for entry in table.tables("tenants")]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -841,6 +841,54 @@
         w2 send 200 r
         a3 expect 200 r""",
     # The administration API
+    "a change that rests on an older revision is refused, one on the newest is made": """
+        admin send GET /v1/tenants/single
+        admin expect 200 "2" *
+        admin send PATCH /v1/tenants/single {"max_open":7} match="2"
+        admin expect 200 "5" *
+        admin send PATCH /v1/tenants/single {"max_open":8} match="2"
+        admin expect 412 If-Match
+        admin send DELETE /v1/tenants/single match="4"
+        admin expect 412 If-Match
+        admin send PUT /v1/tenants/single {"backend":"w2"} match="1","5"
+        admin expect 200 "6" *
+        admin send PATCH /v1/tenants/single {"max_open":-1}
+        admin expect 400 max_open
+        admin send PATCH /v1/tenants/single []
+        admin expect 400""",
+    "a dry run says what would change and changes nothing": """
+        admin send DELETE /v1/tenants/single?dry_run=true
+        admin expect 200 "2" *
+        admin send PATCH /v1/tenants/single?dry_run=true {"max_open":7}
+        admin expect 200 "2" *
+        admin send POST /v1/tenants?dry_run=true {"name":"new","backend":"w1"}
+        admin expect 200 - *
+        admin send POST /v1/tenants?dry_run=maybe {"name":"new","backend":"w1"}
+        admin expect 400 dry_run
+        admin send GET /v1/tenants/new
+        admin expect 404
+        admin send GET /v1/tenants/single
+        admin expect 200 "2" *""",
+    "a POST that comes again with its key makes nothing anew, and its key makes nothing else": """
+        admin send POST /v1/tenants {"name":"new","backend":"w1"} key=k1
+        admin expect 201 "5" *
+        admin send POST /v1/tenants {"name":"new","backend":"w1"} key=k1
+        admin expect 201 "5" *
+        admin send POST /v1/tenants {"name":"newer","backend":"w1"} key=k1
+        admin expect 422 Idempotency-Key
+        admin send POST /v1/tenants {"name":"new","backend":"w1"} key=k2
+        admin expect 409 name""",
+    "lists come in pages, and the trail says who changed what": """
+        admin send GET /v1/tenants?limit=2
+        admin expect 200 - *
+        admin send GET /v1/tenants?limit=0
+        admin expect 400 limit
+        admin send POST /v1/tenants/single/suspend
+        admin expect 200 "5" *
+        admin send GET /v1/audit?after=4
+        admin expect 200 - *
+        admin send GET /v1/audit?after=x
+        admin expect 400 after""",
     "a token is needed": """
         admin send GET /v1/status token=wrong
         admin expect 401
