--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,52 @@
+"""The laboratory: plans, and a run against a stand-in worker of its own."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from reelusher.config import ConfigError
+from reelusher.lab.__main__ import main, report, table
+from reelusher.lab.load import StandIn, play
+from reelusher.lab.plan import Worker, parse
+
+CALLER = {"name": "a", "rate": 50}
+
+
+@pytest.mark.parametrize(("plan", "named"), [
+    ({"run": {"target": "10.0.0.1:8009"}, "callers": [CALLER]}, "run.target"),
+    ({"run": {"target": "127.0.0.1:8009"}}, "callers"),
+    ({"run": {"target": "127.0.0.1:8009"}, "callers": [{"name": "a"}]}, "callers[0].rate"),
+    ({"run": {"target": "127.0.0.1:8009"}, "callers": [{**CALLER, "bogus": 1}]}, "callers[0].bogus"),
+    ({"run": {"target": "127.0.0.1:8009"}, "callers": [CALLER], "workers": [{"listen": "0.0.0.0:1"}]},
+     "workers[0].listen")])
+def test_a_fault_in_a_plan_is_named(plan: dict[str, Any], named: str) -> None:
+    with pytest.raises(ConfigError) as caught:
+        parse(plan)
+    assert caught.value.key == named
+
+
+def test_a_plan_that_is_not_there_ends_with_status_2(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["/nowhere.toml"]) == 2 and "/nowhere.toml" in capsys.readouterr().err
+
+
+def test_a_run_counts_what_came_of_each_request_and_waits_in_the_latency() -> None:
+    """One slot of 40 ms, asked 50 times a second: the line grows, and so must the latencies."""
+
+    async def run() -> dict[str, Any]:
+        stand_in = StandIn(Worker(("127.0.0.1", 0), 1, 40.0))
+        server = await asyncio.start_server(stand_in.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        plan = parse({"run": {"target": f"{host}:{port}", "seconds": 1.0, "warm_up_s": 0},
+                      "callers": [{**CALLER, "body_bytes": 100, "method": "POST", "aim_ms": 100},
+                                  {"name": "b", "rate": 5, "keeps": False}]})
+        made = report(plan, *await play(plan))
+        server.close()
+        assert stand_in.done == sum(row["served"] for row in made["callers"])
+        return made
+
+    made = asyncio.run(run())
+    first, second = made["callers"]
+    assert first["served"] == first["asked"] == first["tries"] > 20 and second["lost"] == 0
+    assert first["p50_ms"] > 100 and first["in_time"] < 0.5 and first["max_ms"] >= first["p99_ms"]
+    assert "in_time" in table(made) and made["jain"] < 1
