--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -734,7 +734,161 @@
         node expect count ajp.malformed 3
         a4 send cping
         a4 expect cpong""",
+    # Tenants
+    "a tenant removed while its requests are held, running and joined, and added again within the window": """
+        with busy=1
+        a1 send POST /visits host=clinic key=K body=x
+        w1 expect POST /visits x
+        a2 send POST /visits host=clinic key=K body=x
+        a3 send GET /days host=clinic
+        w2 expect GET /days
+        a4 send GET /x host=clinic
+        node expect count keys.joined 1
+        node expect count requests.read 4
+        admin send DELETE /v1/tenants/clinic?within_ms=800
+        admin expect 202
+        a5 send GET /days host=clinic
+        a5 expect 503 Full reuse=1 retry=1
+        a4 expect 503
+        a3 expect 500
+        a2 expect 500
+        a1 expect 500
+        node expect count tenants.removed 1
+        node expect count tenants.ended_in_hand 4
+        admin send GET /v1/tenants/clinic
+        admin expect 404
+        w1 send 200 booked
+        node expect count runs.ok 1
+        a1 expect nothing
+        admin send POST /v1/tenants {"name":"clinic","backend":"w2","default_class":"book-visit"}
+        admin expect 201
+        a6 send POST /visits host=clinic key=K body=x
+        a6 expect 200 booked
+        node expect count runs.started 2
+        node expect count answers.refused 1""",
+    "a tenant with nothing in hand is gone at once, one whose last run ends as soon as that does": """
+        a1 send GET /days host=clinic
+        w1 expect GET /days
+        admin send DELETE /v1/tenants/single
+        admin expect 204
+        admin send DELETE /v1/tenants/clinic?within_ms=60000
+        admin expect 202
+        admin send DELETE /v1/tenants/clinic?within_ms=soon
+        admin expect 400 within_ms
+        admin send POST /v1/tenants/clinic/suspend
+        admin expect 409
+        admin send PUT /v1/tenants/clinic {"backend":"w1"}
+        admin expect 409
+        w1 send 200 r
+        a1 expect 200 r
+        node expect count tenants.removed 2
+        node expect count tenants.ended_in_hand 0""",
+    "a suspended tenant is refused while others are served, and what it has in hand goes on": """
+        a1 send GET /days host=clinic
+        w1 expect GET /days
+        admin send POST /v1/tenants/clinic/suspend
+        admin expect 200
+        a2 send GET /days host=clinic
+        a2 expect 503
+        w1 send 200 r
+        a1 expect 200 r
+        a3 send GET /days host=single
+        w1 expect GET /days
+        w1 send 200 s
+        a3 expect 200 s
+        admin send GET /v1/tenants/clinic/usage
+        admin expect 200
+        admin send POST /v1/tenants/clinic/resume
+        admin expect 200
+        a2 send GET /days host=clinic
+        w2 expect GET /days
+        w2 send 200 t
+        a2 expect 200 t""",
+    "shares are set through the API, and guarantees never add up to more than there is": """
+        admin send PUT /v1/tenants/single {"backend":"w1","share":{"weight":2,"guarantee":0.7}}
+        admin expect 200
+        admin send PUT /v1/tenants/clinic {"backend":"both","share":{"guarantee":0.4}}
+        admin expect 400 share.guarantee
+        admin send PUT /v1/tenants/clinic {"backend":"both","share":{"weight":0}}
+        admin expect 400 share.weight
+        admin send PUT /v1/tenants/clinic {"backend":"both","share":{"classes":{"none":1}}}
+        admin expect 400 share.classes.none""",
+    "a full table makes room by idle connections of the address that has most": """
+        with max_connections=3
+        a1 send cping
+        a1 expect cpong
+        a2 send cping
+        a2 expect cpong
+        a3 send GET /days host=clinic
+        w1 expect GET /days
+        a4 send cping source=127.0.0.2
+        a4 expect cpong
+        a1 expect closed
+        a5 send cping
+        a5 expect closed
+        w1 send 200 r
+        a3 expect 200 r""",
+    "a tenant's bound on connections holds for it alone": """
+        a1 send GET /days host=narrow
+        w1 expect GET /days
+        w1 send 200 r
+        a1 expect 200 r
+        a2 send GET /days host=narrow
+        a2 expect 503
+        a2 expect closed
+        a3 send GET /days host=clinic
+        w2 expect GET /days
+        w2 send 200 r
+        a3 expect 200 r""",
     # The administration API
+    "a change that rests on an older revision is refused, one on the newest is made": """
+        admin send GET /v1/tenants/single
+        admin expect 200 "2" *
+        admin send PATCH /v1/tenants/single {"max_open":7} match="2"
+        admin expect 200 "5" *
+        admin send PATCH /v1/tenants/single {"max_open":8} match="2"
+        admin expect 412 If-Match
+        admin send DELETE /v1/tenants/single match="4"
+        admin expect 412 If-Match
+        admin send PUT /v1/tenants/single {"backend":"w2"} match="1","5"
+        admin expect 200 "6" *
+        admin send PATCH /v1/tenants/single {"max_open":-1}
+        admin expect 400 max_open
+        admin send PATCH /v1/tenants/single []
+        admin expect 400""",
+    "a dry run says what would change and changes nothing": """
+        admin send DELETE /v1/tenants/single?dry_run=true
+        admin expect 200 "2" *
+        admin send PATCH /v1/tenants/single?dry_run=true {"max_open":7}
+        admin expect 200 "2" *
+        admin send POST /v1/tenants?dry_run=true {"name":"new","backend":"w1"}
+        admin expect 200 - *
+        admin send POST /v1/tenants?dry_run=maybe {"name":"new","backend":"w1"}
+        admin expect 400 dry_run
+        admin send GET /v1/tenants/new
+        admin expect 404
+        admin send GET /v1/tenants/single
+        admin expect 200 "2" *""",
+    "a POST that comes again with its key makes nothing anew, and its key makes nothing else": """
+        admin send POST /v1/tenants {"name":"new","backend":"w1"} key=k1
+        admin expect 201 "5" *
+        admin send POST /v1/tenants {"name":"new","backend":"w1"} key=k1
+        admin expect 201 "5" *
+        admin send POST /v1/tenants {"name":"newer","backend":"w1"} key=k1
+        admin expect 422 Idempotency-Key
+        admin send POST /v1/tenants {"name":"new","backend":"w1"} key=k2
+        admin expect 409 name""",
+    "lists come in pages, and the trail says who changed what": """
+        admin send GET /v1/tenants?limit=2
+        admin expect 200 - *
+        admin send GET /v1/tenants?limit=0
+        admin expect 400 limit
+        admin send POST /v1/tenants/single/suspend
+        admin expect 200 "5" *
+        admin send GET /v1/audit?after=4
+        admin expect 200 - *
+        admin send GET /v1/audit?after=x
+        admin expect 400 after""",
     "a token is needed": """
         admin send GET /v1/status token=wrong
         admin expect 401
