--- a/reelusher/admin/api.py
+++ b/reelusher/admin/api.py
@@ -59,7 +59,7 @@
 
     def routes(self) -> set[tuple[str, str]]:
         """Return what is answered, as method and path."""
-        return {(method, "/v1/" + (kind.replace("/", "/{name}/") if "/" in kind else kind + "/{name}" * named))
+        return {(method, f"/v1/{kind.replace('/', '/{name}/')}" + "/{name}" * (named and "/" not in kind))
                 for method, kind, named in self._routes}
 
     def start(self) -> None:
