Look at who is over its share less often where thousands ask

Change: beyond 200 asking tenants the allocation is made anew every second period, every third, and so on; runs reset only their own tenants.

--- a/reelusher/tenancy/shares.py
+++ b/reelusher/tenancy/shares.py
@@ -20,6 +20,7 @@
 OVER = 1.05  # times its allocation that a tenant may ask for before it is over its share
 ADMIT = 1.25  # times its allocation that is let in of it: a queue that runs empty wastes its turn
 QUIET = 1e-3  # part of a core below which a tenant asks for nothing
+MOST_ASKING = 200  # tenants that are looked at for each period
 LONG_US = 1_000_000  # a run that lasts longer gives its place to other tenants
 LEARN = 0.1  # weight of the newest run in the mean work of its class
 FIRST_US = 10_000.0  # work of a run of which nothing is known
@@ -149,6 +150,7 @@
         self._virtual = 0.0
         self._long = 0
         self._any_over = False
+        self._periods = 0  # since the last look at who is over
 
     # Who there is
 
@@ -264,6 +266,8 @@
             return
         took = float(took_us or now_us - run.since_us)
         flow.running -= 1
+        if not flow.running:
+            flow.long, flow.floor_us = 0, 0.0
         if took_us:
             flow.means.learn(request.kind, took, request.hint_us)
             self._means.learn(request.kind, took, request.hint_us)
@@ -311,8 +315,8 @@
     def period(self, now_us: int) -> None:
         """Bring the standing up to date: runs that last, keys that have run out, who is over its share."""
         self._long = 0
-        for flow in self._asking.values():
-            flow.long, flow.floor_us = 0, math.inf if flow.running else 0.0
+        for number in {run.tenant for run in self._runs.values()} & self._flows.keys():
+            self._flows[number].long, self._flows[number].floor_us = 0, math.inf
         for run in self._runs.values():
             owner = self._flows.get(run.tenant)
             lasted = now_us - run.since_us
@@ -325,11 +329,15 @@
             if owner is not None and run.charged_us > LONG_US:
                 owner.long += 1
                 self._long += 1
+        # a look at all who ask costs as much as there are: with many, who is over is told less often
+        self._periods += 1
+        if self._periods <= len(self._asking) // MOST_ASKING:
+            return
+        self._periods = 0
         for number, flow in list(self._asking.items()):
             if flow.decay(now_us) < QUIET and not flow.held and not flow.running:
                 del self._asking[number]
-                flow.excess = flow.floor_us = 0.0
-                flow.long = 0
+                flow.excess = 0.0
         self._allocate()
 
     def expired(self, now_us: int) -> list[int]:
