--- a/reelusher/choice.py
+++ b/reelusher/choice.py
@@ -348,8 +348,8 @@
             kb *= 1 if state in (State.HELD, State.JOINED) else self.settings.run_factor
         self.work_kb += kb - work.kb
         if self.standing:
-            self.standing.memory(work.request, kb - work.kb)
-            self.standing.held(work.request, (state is State.HELD) - (work.state is State.HELD))
+            began = (state is State.HELD) - (work.state is State.HELD)
+            self.standing.moved(work.request, began, kb - work.kb)
         work.state, work.kb = state, kb
 
     def _memory(self) -> float:
@@ -364,7 +364,8 @@
         at_calls = len(self.at[State.AT_CALL]) + len(self.at[State.CALLING])
         most = int(self._ceiling()) - at_calls - len(self.at[State.RUNNING])
         room = min(int(self.cap) - len(self.at[State.RUNNING]), most)
-        if room + (self.standing.lent() if self.standing else 0) <= 0 or most <= 0:
+        lent = self.standing.lent() if self.standing else 0
+        if room + lent <= 0 or most <= 0:
             return
         order = sorted(held.values(), key=lambda w: (not self._reachable(w), -w.kind.worth, w.aim_us))
         for work in self.standing.order(order, self.now) if self.standing else order[:room]:
@@ -372,9 +373,9 @@
             if self._memory() + extra > MEMORY_RUN * self.settings.memory_kb:
                 break
             if self.standing:
-                if room + self.standing.lent() <= 0 or most <= 0:
+                if room + lent <= 0 or most <= 0:
                     break
-                if room + self.standing.lent(work.request.tenant) <= 0:
+                if room <= 0 and room + self.standing.lent(work.request.tenant) <= 0:
                     continue
                 room, most = room - 1, most - 1
                 self.standing.started(work.request, self.now)
--- a/reelusher/drain/signals.py
+++ b/reelusher/drain/signals.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import Callable, Collection
 
-LOOK_S = 0.025  # between two looks
+LOOK_S = 0.05  # between two looks; a drain counts from up to that much too early
 
 
 class SignalWatch:
--- a/reelusher/interface.py
+++ b/reelusher/interface.py
@@ -312,11 +312,8 @@
     def chance(self, tenant: int, chance: float) -> float:
         """Return the likelihood of a random refusal, where the module would have this one for all."""
 
-    def held(self, request: Request, change: int) -> None:
-        """Count a request that begins (1) or ends (-1) to be held."""
-
-    def memory(self, request: Request, change_kb: float) -> None:
-        """Count the memory that a request takes or gives back."""
+    def moved(self, request: Request, held: int, change_kb: float) -> None:
+        """Count a request that begins (1) or ends (-1) to be held, and the memory that it takes or gives."""
 
     def keeps(self, request: Request, until_us: int, entry_kb: float) -> None:
         """Count a kept key."""
--- a/reelusher/tenancy/shares.py
+++ b/reelusher/tenancy/shares.py
@@ -126,9 +126,10 @@
         self.used_us += work_us
         if kind in self.lanes:
             self.lanes[kind] += work_us / self.share.class_weights.get(kind, 1.0)
-        for clock in (self.reserve, self.limit):
-            if clock is not None:
-                clock.charge(work_us, now_us)
+        if self.reserve is not None:
+            self.reserve.charge(work_us, now_us)
+        if self.limit is not None:
+            self.limit.charge(work_us, now_us)
 
 
 class Shares:
@@ -168,10 +169,11 @@
         self._asking.pop(tenant, None)
 
     def _flow(self, tenant: int) -> _Flow:
-        flow = self._flows.get(tenant)
-        if flow is None:
+        try:
+            return self._flows[tenant]
+        except KeyError:
             flow = self._flows[tenant] = _Flow(tenant, Share(), self._cores, self._virtual)
-        return flow
+            return flow
 
     def usage(self, tenant: int, now_us: int) -> dict[str, float]:
         """Return how a tenant stands: work in core-milliseconds, the rest as counts, parts and KB."""
@@ -215,13 +217,11 @@
             return chance
         return min(chance, self._flow(tenant).excess)
 
-    def held(self, request: io.Request, change: int) -> None:
-        """Count a request that begins (1) or ends (-1) to be held."""
-        self._flow(request.tenant).held += change
-
-    def memory(self, request: io.Request, change_kb: float) -> None:
-        """Count the memory that a request takes or gives back."""
-        self._flow(request.tenant).kb += change_kb
+    def moved(self, request: io.Request, held: int, change_kb: float) -> None:
+        """Count a request that begins (1) or ends (-1) to be held, and the memory that it takes or gives."""
+        flow = self._flow(request.tenant)
+        flow.held += held
+        flow.kb += change_kb
 
     def keeps(self, request: io.Request, until_us: int, entry_kb: float) -> None:
         """Count a kept key."""
@@ -284,6 +284,10 @@
         weighs its classes). The order heeds what is `started` between two items. Whoever is at a bound of
         its own is left out.
         """
+        if len(held) == 1:  # as most often where cores are free
+            if self._eligible(self._flow(held[0].request.tenant), now_us):
+                yield held[0]
+            return
         queues: dict[int, dict[int, deque[io.H]]] = {}
         for one in held:
             number = one.request.tenant
@@ -294,9 +298,7 @@
         while heap:
             *_, number = heapq.heappop(heap)
             flow, lanes = self._flow(number), queues[number]
-            share = flow.share
-            if share.running and flow.running >= share.running or (
-                    flow.limit is not None and not flow.limit.conforms(now_us)):
+            if not self._eligible(flow, now_us):
                 continue
             lane = min(lanes, key=lambda kind: (flow.lanes.get(kind, 0.0), kind)) if len(lanes) > 1 else next(
                 iter(lanes))
@@ -306,6 +308,12 @@
             if lanes:
                 heapq.heappush(heap, (*self._place(flow, now_us), number))
 
+    @staticmethod
+    def _eligible(flow: _Flow, now_us: int) -> bool:
+        """Tell whether no bound of its own keeps a tenant from another run."""
+        most = flow.share.running
+        return not (most and flow.running >= most) and (flow.limit is None or flow.limit.conforms(now_us))
+
     def _place(self, flow: _Flow, now_us: int) -> tuple[int, float, float]:
         """Sort key: behind its guarantee first, then by start tag; of equal ones who has had less."""
         if flow.reserve is not None and flow.reserve.conforms(now_us):
