Durable keys: nothing keyed runs before its key is on the disk

Need: a restart inside the window forgot which book-visit had run, and a repeat ran it again.

Change: admin.durable_keys, off by default. A thread writes keys in batches, one sync each; the owner starts a run when it hears that its key is there, and never one that was answered meanwhile. A later life of the node fails repeats of what may have run.

Measured: tests restart the core on a disk that kept only what was synced, and answer a request before its key is written; both pass. Without the setting no path changes.

--- a/reelusher/config/operator.py
+++ b/reelusher/config/operator.py
@@ -138,6 +138,7 @@
     token: str  # an operator's, in clear text; empty: there are others
     tokens: tuple[Token, ...]
     state_file: str  # where changed tenants were kept before there was a journal; empty: nowhere
+    durable_keys: bool  # nothing keyed runs before its key is in that folder
     state_dir: str  # where they are kept; empty: beside the state file, if that is named, else nowhere
 
 
@@ -184,12 +185,15 @@
 
 
 def _read_admin(table: Table) -> Admin:
-    table.only("listen", "token", "tokens", "state_file", "state_dir")
+    table.only("listen", "token", "tokens", "state_file", "state_dir", "durable_keys")
     old = table.text("state_file", " ").strip()
     tokens = tuple(map(_read_token, table.tables("tokens")))
     _distinct(table.path("tokens"), [token.name for token in tokens])
     made = Admin(table.address("listen"), table.text("token", "" if tokens else None), tokens, old,
+                 table.flag("durable_keys", False),
                  table.text("state_dir", old + ".d" if old else " ").strip())
+    if made.durable_keys and not made.state_dir:
+        raise ConfigError(table.path("durable_keys"), "state_dir is needed for them")
     if not is_loopback(made.listen[0]):
         raise ConfigError(table.path("listen"), "the administration API listens on loopback only")
     if (made.token or not tokens) and (len(made.token) < 16 or not made.token.isascii()):
--- a/reelusher/core/attempts.py
+++ b/reelusher/core/attempts.py
@@ -22,7 +22,7 @@
     """A request in hand."""
 
     __slots__ = ("id", "request", "runner", "stage", "answered", "ran", "due_us", "ticket", "wanted",
-                 "serial", "since_us")
+                 "serial", "since_us", "waits")
 
     def __init__(self, number: int, request: Request, runner: Runner, due_us: int) -> None:
         self.id = number
@@ -30,6 +30,7 @@
         self.runner = runner
         self.stage = Stage.HELD
         self.answered = self.ran = False
+        self.waits = False  # its run begins once its key is durable
         self.due_us = due_us
         self.ticket = 0  # of its newest call below
         self.wanted = b""  # body of the call that its run waits for
--- a/reelusher/core/keys.py
+++ b/reelusher/core/keys.py
@@ -65,6 +65,11 @@
             return
         self._by_key[key] = self._by_holder[holder] = Entry(key, holder, until_us, digest)
 
+    def remember(self, key: Key, holder: int, until_us: int, digest: bytes) -> None:
+        """Record a try of an earlier life of the node: it may have run, and what it came to is not known."""
+        self.keep(key, holder, until_us, digest)
+        self._by_holder[holder].over = True
+
     def store(self, entry: Entry, result: Result | None) -> int:
         """Keep what the holder's run came to; return how many older results had to go to make room.
 
--- a/reelusher/core/model.py
+++ b/reelusher/core/model.py
@@ -154,6 +154,25 @@
     told_us: int  # when it was told so, at the earliest
 
 
+class KeyKeeper(Protocol):
+    """Makes keys durable before what they name is run. Nothing here may block."""
+
+    def keep(self, key: tuple[str, int, str], until_us: int, digest: bytes, done: Callable[[bool], None]
+             ) -> None:
+        """Make a key durable; `done` hears whether it is, from another thread."""
+
+    def forget(self, key: tuple[str, int, str]) -> None:
+        """Note that a key never ran after all."""
+
+
+@dataclass(slots=True, frozen=True)
+class KeyKept:
+    """The key of an attempt is durable, or could not be made so."""
+
+    number: int
+    well: bool
+
+
 @dataclass(slots=True, frozen=True)
 class Ask:
     """Something that is to be done by the owner between batches, with a reply to wait for."""
@@ -162,4 +181,5 @@
     done: "Future[Any]" = field(default_factory=Future)
 
 
-Message = Arrived | Left | RunOver | CallWanted | CallOver | GaugesRead | RunsLost | DrainOrder | Ask
+Message = (Arrived | Left | RunOver | CallWanted | CallOver | GaugesRead | RunsLost | DrainOrder | KeyKept
+           | Ask)
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -18,8 +18,8 @@
 from reelusher.core.counters import Counters
 from reelusher.core.keys import Key, KeyTable
 from reelusher.core.model import (
-    Answer, Arrived, Ask, CallOver, CallWanted, Dependency, DrainOrder, GaugesRead, Left, Message, Request,
-    Result, Runner, RunOver, RunsLost, Verdict)
+    Answer, Arrived, Ask, CallOver, CallWanted, Dependency, DrainOrder, GaugesRead, KeyKeeper, KeyKept, Left,
+    Message, Request, Result, Runner, RunOver, RunsLost, Verdict)
 from reelusher.core.timers import Timers
 from reelusher.drain.plan import Pace
 
@@ -67,6 +67,7 @@
         self._grace_end_us: int | None = None  # what reaches the machine later is not run
         self._runner = runner
         self._dependency = dependency
+        self.keeper: KeyKeeper | None = None  # makes keys durable, where the operator wants that
         self.admits: Callable[[int], bool] | None = None  # are requests of a tenant, by number, taken at all
         self._controller = Controller(settings, seed, standing)
         self._timers = Timers()
@@ -81,7 +82,7 @@
         self._handlers: dict[type, Callable[[Any], None]] = {
             Arrived: self._arrived, Left: self._left, RunOver: self._run_over, CallWanted: self._call_wanted,
             CallOver: self._call_over, GaugesRead: self._gauges_read, RunsLost: self._runs_lost,
-            DrainOrder: self._drain, Ask: self._ask}
+            DrainOrder: self._drain, KeyKept: self._key_kept, Ask: self._ask}
         self._actions: dict[type, Callable[[Any], None]] = {
             io.Run: self._do_run, io.Pause: self._do_pause, io.Call: self._do_call, io.Skip: self._do_skip,
             io.Decline: self._do_decline, io.Fail: self._do_fail, io.Join: self._do_join,
@@ -289,7 +290,7 @@
 
     def _runs_lost(self, message: RunsLost) -> None:
         for attempt in self.attempts:
-            if attempt.runner is message.runner and attempt.ran:
+            if attempt.runner is message.runner and attempt.ran and not attempt.waits:
                 self._run_over(RunOver(attempt.request.call, io.Outcome.ERROR))
 
     def _drain(self, message: DrainOrder) -> None:
@@ -329,12 +330,34 @@
         if not self.counters.must(in_time, "a drain runs nothing that came after the grace"):
             return
         attempt.stage, attempt.ran = Stage.RUNNING, True
+        if self.keeper is not None and entry is not None:
+            attempt.waits, number = True, attempt.id
+            self.keeper.keep(entry.key, entry.until_us, entry.digest,
+                             lambda well: self.post(KeyKept(number, well)))
+            return
+        self._start(attempt)
+
+    def _start(self, attempt: Attempt) -> None:
         self.counters.add("runs.started")
         attempt.runner.start(attempt.request, self.class_names[attempt.request.kind])
 
+    def _key_kept(self, message: KeyKept) -> None:
+        """Begin a run whose key is durable, unless it has been answered meanwhile: then it never ran."""
+        attempt = self.attempts.get(message.number)
+        if attempt is None or not attempt.waits:
+            return
+        attempt.waits = False
+        if message.well and not attempt.answered:
+            self._start(attempt)
+            return
+        entry = self.keys.of(attempt.id)
+        if self.keeper is not None and entry is not None and message.well:
+            self.keeper.forget(entry.key)
+        self._run_over(RunOver(attempt.request.call, io.Outcome.MOOT))
+
     def _do_pause(self, action: io.Pause) -> None:
         attempt = self.attempts.get(action.id)
-        if attempt and attempt.stage is Stage.RUNNING:
+        if attempt and attempt.stage is Stage.RUNNING and not attempt.waits:
             if not attempt.answered:  # an answered run is over when it stops, it can't be taken up again
                 attempt.stage = Stage.PAUSED
             attempt.runner.stop(attempt.request.call)
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from reelusher.admin.api import AdminApi
+    from reelusher.tenancy.durable.keys import KeyLog
     from reelusher.tenancy.shares import Shares
 
 SWITCH_S = 0.001  # a thread that waits for the interpreter gets it within this
@@ -37,6 +38,7 @@
 RESULTS_PART = 0.25  # part of the node's memory that kept results may take
 BACKLOGS_PART = 0.1  # part of it that answers may take which slow callers have not read yet
 RESERVED_SOCKETS = 48  # descriptors for listeners, files, runtime, vault, catalog and the administration API
+EARLIER = 1 << 40  # tries of earlier lives of the node are numbered from here
 LEAST_CONNECTIONS = 16  # that fronts get however few descriptors there are
 
 
@@ -85,6 +87,7 @@
                 int(config.memory_mb * BACKLOGS_PART * (1 << 20)),
                 lambda late_s: self._pace.note(late_s, time.monotonic()))
         self.admin: AdminApi | None = None
+        self._key_log: KeyLog | None = None
         if own:
             self._set_up(own)
 
@@ -101,6 +104,12 @@
         folder, old = (own.admin.state_dir, own.admin.state_file) if own.admin else ("", "")
         kept = store.opened(Path(folder) if folder else None, Path(old) if old else None, own.tenants,
                             own.class_names, backends)
+        if own.admin and own.admin.durable_keys:
+            log = store.opened_keys(Path(folder))
+            for number, line in enumerate(log.live()):
+                self.core.keys.remember(line.name, EARLIER + number, line.until_us,
+                                        bytes.fromhex(line.digest))
+            self.core.keeper, self._key_log = log, log
         found = [(tenant, State(state)) for tenant, state in kept.tenants(own.class_names, backends)]
         tenants = Tenants(found, own.class_names, self._pool.runner, self.core, self._shares, backends)
         if own.ajp:
@@ -139,6 +148,8 @@
 
     def start(self) -> None:
         """Start all threads."""
+        if self._key_log:
+            self._key_log.start()
         self.core.start()
         if self.runtime:
             self.runtime.connect()
@@ -246,6 +257,8 @@
             self.runtime.close()
         self._pool.executor.shutdown(wait=False, cancel_futures=True)
         self.core.stop()
+        if self._key_log:
+            self._key_log.close()
 
 
 def set_up_log() -> None:
--- a/reelusher/tenancy/store.py
+++ b/reelusher/tenancy/store.py
@@ -18,6 +18,7 @@
 from reelusher.config.table import ConfigError, Table
 from reelusher.tenancy.durable.disk import Disk, Folder
 from reelusher.tenancy.durable.journal import Broken, Journal
+from reelusher.tenancy.durable.keys import KeyLog
 from reelusher.tenancy.durable.state import Change, Kept, State, Unreadable, read_change, read_state, write
 
 MIGRATED = ".migrated"  # what the old state file is called once its tenants are in the journal
@@ -107,6 +108,14 @@
         raise ConfigError("admin.state_dir" if old is None else "admin.state_file", str(error)) from None
 
 
+def opened_keys(folder: Path) -> KeyLog:
+    """Open the journal of keys below a state folder; a fault is a `ConfigError` that says where it lies."""
+    try:
+        return KeyLog(Folder(folder / "keys"))
+    except (Broken, OSError) as error:
+        raise ConfigError("admin.durable_keys", str(error)) from None
+
+
 def read_old(path: Path, class_names: tuple[str, ...], backends: frozenset[str]) -> list[Tenant] | None:
     """Read the state file of versions before the journal; None where there is none."""
     if not path.exists():
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -38,7 +38,7 @@
     from helpers import settings
     from test_core import Backend
     core = Core(settings(), [], 1, Backend())
-    api = AdminApi(Admin(("127.0.0.1", 0), "a-token-for-tests", (), "", ""),
+    api = AdminApi(Admin(("127.0.0.1", 0), "a-token-for-tests", (), "", False, ""),
                    Parts(core, None, Store(None), None, dict, lambda: True))  # type: ignore[arg-type]
     made = openapi.document()
     told = {(method.upper(), path) for path, methods in made["paths"].items() for method in methods}
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -11,11 +11,15 @@
 from hypothesis import settings as effort
 from hypothesis import strategies as st
 
+from test_core import World
+
 from reelusher.config import ConfigError
 from reelusher.config.operator import parse
+from reelusher.core.model import KeyKept, Verdict
 from reelusher.tenancy.durable.disk import Folder, Locked
 from reelusher.tenancy.durable.frames import HEADER, MAGIC, Damaged, encode, scan
 from reelusher.tenancy.durable.journal import Broken, Journal
+from reelusher.tenancy.durable.keys import KeyLog
 from reelusher.tenancy.durable.state import Change, State, Unreadable, read_change, read_state, write
 from reelusher.tenancy.store import Store, opened
 
@@ -318,3 +322,46 @@
         thread.join()
     numbers = sorted(kept.revision for kept in store.state.tenants.values())
     assert numbers == list(range(1, 81))
+
+
+def world_with(log: KeyLog) -> World:
+    """Return a core whose keys are durable, with those of the life before."""
+    world = World()
+    for number, line in enumerate(log.live()):
+        world.core.keys.remember(line.name, (1 << 40) + number, line.until_us, bytes.fromhex(line.digest))
+    world.core.keeper = log
+    return world
+
+
+def test_no_keyed_run_begins_before_its_key_is_durable_and_none_again_after_a_restart() -> None:
+    now = [World().time]
+    disk = Disk()
+    log = KeyLog(disk, lambda: now[0])
+    world = world_with(log)
+    world.turn(world.request("a", 2, "k"), world.request("b", 2, "other"))
+    assert not [said for said in world.backend.said if said[0] == "start"]
+    log.close()
+    log._work()  # the log's thread has its turn
+    world.core.turn(list(world.core._gather()))  # type: ignore[arg-type]
+    assert {said[1] for said in world.backend.said if said[0] == "start"} == {"a", "b"}
+    again = world_with(KeyLog(disk.restart(random.Random(1)), lambda: now[0]))  # killed while they run
+    again.turn(again.request("c", 2, "k"), again.request("d", 2, "new"))
+    again.turn(later_us=100_000)
+    assert again.verdicts("c") == [Verdict.FAILED] and not again.verdicts("d")
+    assert not [said for said in again.backend.said if said[0] == "start"]
+    now[0] += 40_000_000
+    assert KeyLog(disk.restart(random.Random(1)), lambda: now[0]).live() == []
+
+
+@pytest.mark.parametrize("well", [True, False])
+def test_a_keyed_request_answered_before_its_key_is_durable_never_ran(well: bool) -> None:
+    world = world_with(KeyLog(Disk(), lambda: 0))
+    world.turn(world.request("a", 2, "k"))
+    if well:
+        world.turn(later_us=9_000_000)  # past its due time
+    number = next(iter(world.core.attempts)).id
+    world.turn(KeyKept(number, well))
+    assert len(world.verdicts("a")) == 1 and not [said for said in world.backend.said if said[0] == "start"]
+    assert not well or world.verdicts("a") == [Verdict.FAILED]
+    assert well or world.verdicts("a") == [Verdict.REFUSED]
+    assert len(world.core.attempts) == 0 and len(world.core.keys) == 0
