Forget the standing of a removed tenant for good, and share one early end of attempts

Shares.drop forgot a tenant at once, and the end of its next run, or the release of its memory, brought it back with a standard share, for good and owing memory: one more for each tenant that was removed with something in hand, against the rule that everything is bounded.

Change: a dropped tenant's standing goes once nothing of it is held, run or kept. The guard and the end of a tenant answer an attempt by one piece of code; the AJP front picks the connection that makes room by one key.

--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -546,17 +546,19 @@
         for attempt in self.attempts:
             if attempt.request.tenant_no == number and not attempt.answered:
                 never = not attempt.ran and attempt.stage is Stage.HELD
-                self._give_answer(attempt, Verdict.REFUSED if never else Verdict.FAILED)
-                self._events.append(io.Gone(attempt.id))
-                self._settle(attempt)
+                self._end_now(attempt, Verdict.REFUSED if never else Verdict.FAILED)
         self._flush()
 
+    def _end_now(self, attempt: Attempt, verdict: Verdict) -> None:
+        """Answer an attempt without the module, and tell it that no answer is owed any more."""
+        self._give_answer(attempt, verdict)
+        self._events.append(io.Gone(attempt.id))
+        self._settle(attempt)
+
     def _guard(self, attempt: Attempt) -> None:
         self.counters.warn("answers.by_guard", "request {} was due with no answer: answered as failed",
                            attempt.request.call)
-        self._give_answer(attempt, Verdict.FAILED)
-        self._events.append(io.Gone(attempt.id))
-        self._settle(attempt)
+        self._end_now(attempt, Verdict.FAILED)
 
     def _sweep_keys(self) -> None:
         self.keys.sweep(self.now, self.attempts.__contains__)
--- a/reelusher/fronts/ajp.py
+++ b/reelusher/fronts/ajp.py
@@ -168,11 +168,10 @@
         most, count = counts.most_common(1)[0]
         if count <= counts[host] + 1:
             return False
-        spare = [(place.since, place.asked, sock) for sock, place in self._open.items()
-                 if place.host == most and not place.asked]
+        spare = [sock for sock, place in self._open.items() if place.host == most and not place.asked]
         if not spare:
             return False
-        *_, sock = min(spare, key=lambda one: one[0])
+        sock = min(spare, key=lambda one: self._open[one].since)
         self._open[sock].asked = True  # not a second time
         self._core.counters.warn("ajp.closed_for_room",
                                  "ajp: {} connections are open, {} of them {}'s: it loses some to others",
--- a/reelusher/tenancy/shares.py
+++ b/reelusher/tenancy/shares.py
@@ -25,6 +25,7 @@
 LEARN = 0.1  # weight of the newest run in the mean work of its class
 FIRST_US = 10_000.0  # work of a run of which nothing is known
 FREE_PART = 2.0  # times the memory still free that one tenant may take (dynamic threshold)
+LEAST_KB = 1e-6  # memory below it is what rounding leaves
 LAG_US = 200_000  # credit that a guarantee keeps: what was missed while no place was free, and no more
 
 
@@ -82,7 +83,7 @@
     """One tenant."""
 
     __slots__ = ("number", "share", "finish", "lanes", "reserve", "limit", "held", "running", "long", "kb",
-                 "keys", "floor_us", "demand", "demand_us", "excess", "means", "used_us", "turn")
+                 "keys", "floor_us", "demand", "demand_us", "excess", "means", "used_us", "turn", "gone")
 
     def __init__(self, number: int, share: Share, cores: int, virtual: float) -> None:
         self.number = number
@@ -96,6 +97,7 @@
         self.excess = 0.0  # part of what comes in that is beyond its allocation
         self.means = _Means()
         self.used_us = 0.0  # work, since the tenant was added
+        self.gone = False  # its tenant was dropped; it is forgotten once nothing of it is counted
         self.turn = 0.0  # within the tenant: the virtual time of its classes
         self.reserve: Gcra | None = None
         self.limit: Gcra | None = None
@@ -164,9 +166,19 @@
             flow.entitle(share, self._cores, self._virtual)
 
     def drop(self, tenant: int) -> None:
-        """Forget a tenant; what runs of it still is told to end."""
-        self._flows.pop(tenant, None)
-        self._asking.pop(tenant, None)
+        """Forget a tenant once nothing of it runs or is kept any more.
+
+        Forgotten at once, it came back with the end of its next run, for good, and owing memory.
+        """
+        flow = self._flows.get(tenant)
+        if flow is not None:
+            flow.gone = True
+            self._tidy(flow)
+
+    def _tidy(self, flow: _Flow) -> None:
+        if flow.gone and not (flow.held or flow.running or flow.keys) and flow.kb < LEAST_KB:
+            self._flows.pop(flow.number, None)
+            self._asking.pop(flow.number, None)
 
     def _flow(self, tenant: int) -> _Flow:
         try:
@@ -222,6 +234,8 @@
         flow = self._flow(request.tenant)
         flow.held += held
         flow.kb += change_kb
+        if flow.gone:
+            self._tidy(flow)
 
     def keeps(self, request: io.Request, until_us: int, entry_kb: float) -> None:
         """Count a kept key."""
@@ -239,6 +253,7 @@
         if flow is not None:
             flow.keys -= 1
             flow.kb -= entry_kb
+            self._tidy(flow)
 
     def started(self, request: io.Request, now_us: int) -> None:
         """Count a run, and charge what it is likely to take."""
@@ -272,6 +287,7 @@
             flow.means.learn(request.kind, took, request.hint_us)
             self._means.learn(request.kind, took, request.hint_us)
         flow.charge(took - run.charged_us, request.kind, now_us)
+        self._tidy(flow)
 
     def lent(self, tenant: int | None = None) -> int:
         """Return how many runs of other tenants last so long that their places are this one's to use."""
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -56,7 +56,7 @@
     def __init__(self, seed: int) -> None:
         self.chance, self.now = random.Random(seed), 1_000_000_000_000
         told = settings(SAFE, KEYED, cores=2, memory_kb=5_000.0)
-        shares = Shares(told.cores, told.memory_kb)
+        shares = self.shares = Shares(told.cores, told.memory_kb)
         self.backend = Backend()
         self.core = Core(told, [], seed, self.backend, clock=Clock(lambda: self.now * 1000), standing=shares)
         self.tenants = Tenants([(tenant("a"), State.ACTIVE), (tenant("b"), State.ACTIVE)], ("safe", "keyed"),
@@ -128,6 +128,12 @@
             maker = race.asked[answer.result.body.decode()] if answer.result else None
             assert maker and (maker.tenant, maker.kind, maker.key) == (
                 race.asked[call].tenant, race.asked[call].kind, race.asked[call].key)
+        live = {entry.number for entry in race.tenants.entries()} | {0}
+        race.now += 2 * WINDOW_US  # past the window of every key
+        for _ in range(2):
+            race.now += 100_000
+            race.core.turn([])
+        assert set(race.shares._flows) <= live, "a tenant that is gone still has a standing"
         removed += race.core.counters.snapshot().get("tenants.removed", 0)
     assert removed > 20 and WINDOW_US > 60 * 120_000
 
