--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 # One arena: with one for each few threads, memory that short-lived threads free is not given to others.
 run:
-	exec env MALLOC_ARENA_MAX=1 .venv/bin/python -O -m reelusher
+	MALLOC_ARENA_MAX=1 exec .venv/bin/python -O -m reelusher
 
 sim:
 	exec .venv/bin/python -m reelusher.benchlink
