--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -24,7 +24,7 @@
 from reelusher.core.owner import Core
 from reelusher.drain.leave import Drained, lead
 from reelusher.drain.plan import Pace
-from reelusher.drain.signals import SignalWatch
+from reelusher.drain.signals import LOOK_S, SignalWatch
 from reelusher.fronts.platform import PlatformFront
 from reelusher.net import spawn
 
@@ -34,7 +34,6 @@
     from reelusher.tenancy.shares import Shares
 
 SWITCH_S = 0.001  # a thread that waits for the interpreter gets it within this
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 RESULTS_PART = 0.25  # part of the node's memory that kept results may take
 BACKLOGS_PART = 0.1  # part of it that answers may take which slow callers have not read yet
 RESERVED_SOCKETS = 48  # descriptors for listeners, files, runtime, vault, catalog and the administration API
@@ -271,25 +270,27 @@
             "a thread failed: {}", fault.thread.name if fault.thread else "")
 
 
-def heed_signals(node: Node) -> None:
-    """Wait for signals, in a thread of its own, while the node serves and while it drains.
+def heed_signals(node: Node, watch: SignalWatch) -> None:
+    """Look for signals while the node serves and while it drains; return once it has drained.
 
-    A reload has a thread too: a file that can't be read at once must not hold up the drain behind it.
+    A reload and the drain have threads of their own: a file that can't be read at once must not hold up a
+    SIGTERM behind it, and a SIGHUP counts during the drain too.
     """
-    watch = SignalWatch(SIGNALS)
-    while True:
-        came, since_s = watch.next()
-        if came is signal.SIGHUP:
+    leaving: threading.Thread | None = None
+    while leaving is None or leaving.is_alive():
+        found = watch.look()
+        if found is not None and found[0] is signal.SIGHUP:
             spawn("reload", node.reload)
-        else:
-            node.ask_to_leave(since_s)
+        elif found is not None:
+            node.ask_to_leave(found[1])
+        elif leaving is not None:
+            leaving.join(LOOK_S)
+        elif node.asked_to_leave.wait(LOOK_S):
+            leaving = spawn("leave", node.leave)
 
 
-def main() -> int:
-    """Run a node until SIGTERM, or until the administration API drains it."""
-    # Blocked before anything else, and so in all threads: a signal waits until `heed_signals` takes it
-    # and never ends the process, not even a SIGHUP during the start.
-    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+def main(watch: SignalWatch) -> int:
+    """Run a node until a signal, or until the administration API drains it."""
     set_up_log()
     try:
         node = Node(load())
@@ -299,11 +300,9 @@
     except OSError as error:
         logger.error("can't listen: {}", error)
         return 2
-    spawn("signals", lambda: heed_signals(node))
     sys.setswitchinterval(SWITCH_S)
     gc.collect()
     gc.freeze()  # what is there now stays; collections need not look at it
     node.start()
-    node.asked_to_leave.wait()
-    node.leave()
+    heed_signals(node, watch)
     return 0
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Sequence
 from pathlib import Path
 
 import pytest
@@ -104,21 +104,34 @@
     before = signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGUSR1])
     try:
         signal.raise_signal(signal.SIGUSR1)
-        came, earliest_s = SignalWatch([signal.SIGUSR1], lambda: now, sleep, pending).next()
+        watch = SignalWatch([signal.SIGUSR1], lambda: now, pending)
+        while (found := watch.look()) is None:
+            sleep(0.05)
+        came, earliest_s = found
     finally:
         signal.pthread_sigmask(signal.SIG_SETMASK, before)
+        signal.signal(signal.SIGUSR1, signal.SIG_DFL)
     assert came is signal.SIGUSR1 and earliest_s == looks[-2] <= 103.4 < looks[-1]
 
 
+# A thread that was there before the program, as one of a preloaded library is, and blocks no signal.
+FOREIGN = """
+import runpy, sys, threading, time
+threading.Thread(target=time.sleep, args=(60,), daemon=True).start()
+runpy.run_module("reelusher", run_name="__main__", alter_sys=True)
+"""
+
+
 @contextlib.contextmanager
-def program(folder: Path, stop_ms: int) -> Iterator["subprocess.Popen[bytes]"]:
+def program(folder: Path, stop_ms: int, words: Sequence[str] = ("-m", "reelusher")
+            ) -> Iterator["subprocess.Popen[bytes]"]:
     """Run the program until the end of the block; it serves when that begins."""
     path = folder / "config.json"
     with socket.create_server(("127.0.0.1", 0)) as free:
         place = "{}:{}".format(*free.getsockname())
     path.write_text(json.dumps({"name": "n1", "listen": place, "runtime": "127.0.0.1:1", "stop_ms": stop_ms,
                                 "settings": scenario.SETTINGS}))
-    process = subprocess.Popen([sys.executable, "-O", "-m", "reelusher"], cwd=ROOT,
+    process = subprocess.Popen([sys.executable, "-O", *words], cwd=ROOT,
                                env={**os.environ, "PROXY_CONFIG": str(path)}, stderr=subprocess.PIPE)
     try:
         assert process.stderr is not None
@@ -142,6 +155,18 @@
         assert process.returncode == 0 and b"a thread failed" not in errors
 
 
+def test_a_signal_given_to_a_thread_that_blocks_none_drains_as_any_other(tmp_path: Path) -> None:
+    """The fleet's bench delivers signals past the mask: SIGTERM ended nodes at once, with all in hand."""
+    with program(tmp_path, 1000, ("-c", FOREIGN)) as process:
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+        assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        _, errors = process.communicate(timeout=30)
+        assert b"reload: new addresses: none" in errors and b"left after" in errors
+        assert process.returncode == 0
+
+
 def test_the_grace_counts_from_the_signal_and_a_later_order_only_shortens() -> None:
     world = World()
     began = world.time
