Hold run and sim in the tests to their exact form again

The test of the deploy file had come to take any command that ends in exec; it names the two forms again, as before.

--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -257,7 +257,8 @@
     """Return a command of the deploy file as the platform starts it, with the interpreter of the tests."""
     text = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())[command]
     before, python, after = text.partition(".venv/bin/python")
-    assert python and before.endswith("exec ")  # so that signals reach the program, and not a shell
+    # by exec, so that signals reach the program and not a shell
+    assert python and before in ("exec ", "trap '' HUP; MALLOC_ARENA_MAX=1 exec ")
     return ["/bin/sh", "-c", before + sys.executable + after]
 
 
