Take a pending signal without waiting: another thread may have taken it since the look

Found on reading the change again: SignalWatch.look saw a signal pending and then called sigwait, which blocks. Where a thread blocks nothing, the case that the handlers are for, the kernel may give it the signal in between; the main thread then waited for good, and the node never drained.

Change: sigtimedwait with no time to wait; where it finds nothing, the handler's note counts. The fault of CPython 3.11 that the module warns of needs an interrupted wait, and there is none.

Test: a signal that is said to be pending and is gone; without the change the look does not return.

--- a/reelusher/drain/signals.py
+++ b/reelusher/drain/signals.py
@@ -9,8 +9,9 @@
 signal that the kernel gives to it goes by the process's disposition. With the default one it ended the node
 at once, with all that was in hand.
 
-It does not wait with `signal.sigtimedwait`: where a wait is interrupted and its time is over meanwhile, as on
-a process that is stopped and continued, CPython 3.11 returns a `struct_siginfo` of whatever lay on the stack.
+It does not wait in `signal.sigtimedwait`, only asks it with no time to wait: where a wait is interrupted and
+its time is over meanwhile, as on a process that is stopped and continued, CPython 3.11 returns a
+`struct_siginfo` of whatever lay on the stack.
 """
 
 import signal
@@ -42,8 +43,9 @@
         """Return a signal, and a time by the clock before which it has not come; None where none came."""
         looked = self._clock()  # before the look: how long that takes is not known
         came = self._wanted & set(self._pending())
-        if came:
-            return signal.Signals(signal.sigwait(came)), self._clear_s
+        # without a wait: a thread that blocks nothing may have taken it since the look
+        if came and (taken := signal.sigtimedwait(came, 0)) is not None:
+            return signal.Signals(taken.si_signo), self._clear_s
         if self._handled:  # by now: Python runs a handler at the latest when the clock or the look returns
             return self._handled.popleft(), self._clear_s
         self._clear_s = looked
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Collection, Iterator, Sequence
 from pathlib import Path
@@ -114,6 +115,21 @@
     assert came is signal.SIGUSR1 and earliest_s == looks[-2] <= 103.4 < looks[-1]
 
 
+def test_a_pending_signal_that_another_thread_takes_first_holds_nothing_up() -> None:
+    """A thread that blocks nothing may take it between the look and the wait, which then never ended."""
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGUSR1])
+    try:
+        watch = SignalWatch([signal.SIGUSR1], pending=lambda: {signal.SIGUSR1})  # which is gone by then
+        found: list[object] = []
+        thread = threading.Thread(target=lambda: found.append(watch.look()), daemon=True)
+        thread.start()
+        thread.join(5)
+        assert found == [None]
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+        signal.signal(signal.SIGUSR1, signal.SIG_DFL)
+
+
 # A thread that was there before the program, as one of a preloaded library is, and blocks no signal.
 FOREIGN = """
 import runpy, sys, threading, time
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -313,7 +313,7 @@
 
 
 def test_a_start_survives_every_sighup_from_the_first_instruction_of_the_interpreter(tmp_path: Path) -> None:
-    """The interpreter takes a while to come to the first line: a reload of all nodes ended some in it."""
+    """The interpreter takes a while to come to the first line: a reload of all nodes may meet one there."""
     path = tmp_path / "config.json"
     path.write_text(json.dumps({**PLATFORM, "listen": "127.0.0.1:0", "stop_ms": 1000}))
     process = subprocess.Popen(deployed("run"), cwd=ROOT, env={**os.environ, "PROXY_CONFIG": str(path)},
