--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -322,7 +322,8 @@
     os.set_blocking(process.stderr.fileno(), False)
     try:
         command, told = Path(f"/proc/{process.pid}/cmdline"), b""
-        while command.read_bytes().startswith(b"/bin/sh"):  # which is not the program yet
+        # until then the shell has no trap; while `exec` replaces the process this reads empty
+        while command.read_bytes().split(b"\0")[0] != sys.executable.encode():
             assert process.poll() is None
         until = time.monotonic() + 60
         while b"listens on" not in told and process.poll() is None and time.monotonic() < until:
