Start a fleet of real nodes behind relays that break links, with books kept apart

The operators want each piece proven by several processes of the program with faults between them; tests started one process at a time, and the laboratory had one node and no faults.

reelusher/lab/fleet plays a TOML plan: nodes by the run command of the deploy file, each on a loopback address of its own; relays for TCP and datagrams (cut, one way, silent, reset, delay, loss, duplicate, reorder); kill, stop, restart, little CPU; stand-ins for list, service below, runtime and callers; books that name each double, lost, late or foreign answer and each key run twice. A reset is a real one (linger 0: asyncio's abort sends an end), and held pieces keep their order (an event loop does not keep that of equal times): both found by the tests of the links.

--- /dev/null
+++ b/reelusher/lab/fleet/__main__.py
@@ -0,0 +1,75 @@
+"""Plays a plan of many nodes: python -m reelusher.lab.fleet PLAN.toml [--json F] [--picture F.png]."""
+
+import argparse
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+from reelusher.config.table import ConfigError
+from reelusher.lab.fleet.account import Account
+from reelusher.lab.fleet.plan import read
+from reelusher.lab.fleet.rig import play
+
+MOST_TOLD = 20  # broken rules that are printed
+
+
+def table(figures: dict[str, Any]) -> str:
+    """Return the figures as lines."""
+    width = max(map(len, figures))
+    return "\n".join(f"{name.ljust(width)}  {value}" for name, value in figures.items())
+
+
+def draw(account: Account, path: Path) -> None:
+    """Draw what happened over time, with the faults marked."""
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    series = account.series()
+    groups = {"a second": ("served", "refused", "failed", "calls"),
+              "most in hand below": tuple(name for name in series if name.startswith("held")),
+              "reports a second": ("reports",)}
+    figure, axes = pyplot.subplots(len(groups), 1, sharex=True, figsize=(10, 8), layout="constrained")
+    for axis, (title, names) in zip(axes, groups.items(), strict=True):
+        for name in names:
+            axis.step(range(len(series[name])), series[name], where="post", label=name)
+        for at_s, what in account.marks:
+            axis.axvline(at_s, color="grey", linestyle=":", linewidth=1)
+            if axis is axes[0]:
+                axis.annotate(what, (at_s, 1), xycoords=("data", "axes fraction"), rotation=60, fontsize=7)
+        axis.set_ylabel(title)
+        axis.legend(fontsize=7)
+    axes[-1].set_xlabel("seconds of load")
+    figure.savefig(path, dpi=110)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Play a plan; 0, 1 where a rule was broken, 2 where the plan is faulty."""
+    parser = argparse.ArgumentParser(prog="reelusher.lab.fleet", description="Many nodes, on loopback only.")
+    parser.add_argument("plan", type=Path, help="a TOML file, see docs/lab.md")
+    parser.add_argument("--json", type=Path, help="write the figures and series there")
+    parser.add_argument("--picture", type=Path, help="draw the run there (PNG or SVG)")
+    parser.add_argument("--logs", type=Path, help="keep the nodes' logs and configurations in this folder")
+    given = parser.parse_args(argv)
+    try:
+        plan = read(given.plan)
+    except ConfigError as error:
+        print(f"plan: {error}", file=sys.stderr)
+        return 2
+    account = play(plan, given.logs)
+    figures = account.figures()
+    print(table(figures))
+    for line in account.broken[:MOST_TOLD]:
+        print(f"broken: {line}")
+    if given.json:
+        made = {"figures": figures, "series": account.series(), "marks": account.marks,
+                "broken": account.broken}
+        given.json.write_text(json.dumps(made, indent=1) + "\n")
+    if given.picture:
+        draw(account, given.picture)
+    return 1 if account.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/reelusher/lab/fleet/processes.py
@@ -0,0 +1,106 @@
+"""The nodes as processes, started by the command that operators use; each is ended by its id."""
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from reelusher.config.table import Address
+from reelusher.lab.fleet.plan import EFFECTS, Plan
+
+ROOT = Path(__file__).parents[3]
+
+
+def run_command() -> list[str]:
+    """Return `run` of the deploy file, with the interpreter that this one is."""
+    text = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    return ["/bin/sh", "-c", text.replace(".venv/bin/python", sys.executable)]
+
+
+def settings(plan: Plan) -> dict[str, Any]:
+    """Return what the platform would tell each node of this plan."""
+    words = {keyed: EFFECTS["keyed" if keyed else "safe"] for keyed in (True, False)}
+    count = len(plan.node_names())
+    own = {
+        "cores": plan.nodes.cores, "ram_kb": plan.nodes.memory_kb, "blowup": 16.0, "entry_kb": 10.0,
+        "below": "common", "calls_out": plan.below.capacity * len(plan.belows()) / count,
+        "calls_over_us": int(plan.below.over_s * 1e6), "linger_us": 0, "say": "tokens", "halt": "silent",
+        "class_calls": [kind.calls for kind in plan.kinds],
+        "class_skip_worth": [kind.skip_worth for kind in plan.kinds],
+        "caller_idle_us": 30_000_000, "heard_for_us": 1_000_000,
+        "clients_total": sum(zone.callers for zone in plan.zones),
+        "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"],
+        "fresh_start": plan.nodes.cold_from < 1}
+    return {
+        "categories": [{
+            "name": kind.name, "effect": words[kind.keyed], "deadline_us": int(kind.deadline_ms * 1000),
+            "objective_us": int(kind.aim_ms * 1000), "worth": kind.worth,
+            "repeat_window_us": int(kind.window_ms * 1000) if kind.keyed else 0} for kind in plan.kinds],
+        "family_info": own, "group_size": count, "tick_us": 5000,
+        "rules": {"tip_multiple": 6.0, "fall_us": 2_000_000, "cold_from": plan.nodes.cold_from,
+                  "cold_us": int(plan.nodes.cold_s * 1e6), "drain_grace_us": 1_000_000,
+                  "answer_slack_us": 80_000},
+        "limits": {"retry_after": True, "max_retry_after_us": 1_000_000}}
+
+
+class Processes:
+    """All nodes of a run. Leaving the block ends every process that it started."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan, self.folder, self.command = plan, folder, run_command()
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self.configs: dict[str, Path] = {}
+        self.stopped: set[str] = set()
+
+    def __enter__(self) -> "Processes":
+        return self
+
+    def __exit__(self, *fault: object) -> None:
+        for process in self.running.values():
+            with contextlib.suppress(OSError):
+                process.kill()  # also where it is stopped
+        for process in self.running.values():
+            process.wait()
+
+    def configure(self, name: str, listen: Address, below: Address, listed: Address,
+                  runtime: Address) -> None:
+        """Write a node's configuration."""
+        at = "{}:{}".format
+        path = self.configs[name] = self.folder / f"{name}.json"
+        path.write_text(json.dumps({
+            "name": name, "listen": at(*listen), "runtime": at(*runtime), "directory": at(*listed),
+            "vault": at(*below), "seed": f"{abs(hash((self.plan.seed, int(name[1:])))):x}",
+            "stop_ms": self.plan.nodes.stop_ms, "settings": settings(self.plan),
+            "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 512}}))
+
+    def start(self, name: str) -> None:
+        """Start a node; its log goes on in the same file."""
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.running[name] = subprocess.Popen(
+                self.command, cwd=ROOT, env={**os.environ, "PROXY_CONFIG": str(self.configs[name])},
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True)
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a node that runs."""
+        if self.alive(name):
+            self.running[name].send_signal(number)
+
+    def alive(self, name: str) -> bool:
+        """Tell whether a node's process is there."""
+        process = self.running.get(name)
+        return process is not None and process.poll() is None
+
+    def kill(self, name: str) -> None:
+        """End a node at once."""
+        process = self.running[name]
+        process.kill()
+        process.wait()
+
+    def log(self, name: str) -> str:
+        """Return what a node has logged."""
+        return (self.folder / f"{name}.log").read_text(errors="replace")
--- /dev/null
+++ b/reelusher/lab/fleet/virtual.py
@@ -0,0 +1,47 @@
+"""A virtual clock with an order of things to do: a `Timeline` on which an hour passes in seconds."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+
+class Later:
+    """Something that is to be done later."""
+
+    __slots__ = ("callback", "args")
+
+    def __init__(self, callback: Callable[..., Any], args: tuple[Any, ...]) -> None:
+        self.callback: Callable[..., Any] | None = callback
+        self.args = args
+
+    def cancel(self) -> None:
+        """Don't do it."""
+        self.callback, self.args = None, ()
+
+
+class VirtualLine:
+    """Does what is due in the order of its time; equal times in the order in which they were set."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._heap: list[tuple[float, int, Later]] = []
+        self._order = itertools.count()
+
+    def time(self) -> float:
+        """Return the time in seconds."""
+        return self.now
+
+    def call_later(self, delay: float, callback: Callable[..., Any], *args: Any) -> Later:
+        """Do something so many seconds from now."""
+        later = Later(callback, args)
+        heapq.heappush(self._heap, (self.now + max(0.0, delay), next(self._order), later))
+        return later
+
+    def run(self, until_s: float) -> None:
+        """Let time pass."""
+        while self._heap and self._heap[0][0] <= until_s:
+            self.now, _, later = heapq.heappop(self._heap)
+            if later.callback is not None:
+                later.callback(*later.args)
+        self.now = until_s
--- /dev/null
+++ b/tests/test_fleet_rig.py
@@ -0,0 +1,378 @@
+"""The rig of many nodes: each fault has a known outcome, and the books catch what is planted."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from reelusher.config import ConfigError
+from reelusher.config.table import Address
+from reelusher.lab.fleet.account import Account, Ask
+from reelusher.lab.fleet.plan import BelowPlan, Fault, ListPlan, Plan, parse
+from reelusher.lab.fleet.relay import Net
+from reelusher.lab.fleet.rig import play
+from reelusher.lab.fleet.services import Below, ListService
+from reelusher.lab.fleet.virtual import VirtualLine
+
+ROOT = Path(__file__).parent.parent
+CLASSES = [{"name": "slot-search", "share": 0.6, "work_ms": 20, "calls": True, "skip_worth": 0.6},
+           {"name": "book-visit", "share": 0.4, "work_ms": 20, "worth": 4, "effect": "keyed"}]
+PLAN: dict[str, Any] = {"run": {"seconds": 3, "rate": 40}, "classes": CLASSES,
+                        "zones": [{"name": "a", "nodes": 2}, {"name": "b", "nodes": 2}]}
+PAIR = frozenset(["x"]), frozenset(["y"])
+
+
+def planned(*faults: dict[str, Any], **run: Any) -> Plan:
+    return parse({**PLAN, "run": {**PLAN["run"], **run}, "faults": list(faults)})
+
+
+@pytest.mark.parametrize(("change", "named"), [
+    ({"bogus": 1}, "bogus"),
+    ({"run": {"secnds": 3}}, "run.secnds"),
+    ({"zones": []}, "zones"),
+    ({"zones": [{"name": "a", "nodes": 0}]}, "zones"),
+    ({"zones": [{"name": "a", "nodes": 1000}] * 2}, "zones"),
+    ({"zones": [{"name": f"z{n}", "nodes": 1000} for n in range(9)]}, "zones"),
+    ({"classes": []}, "classes"),
+    ({"faults": [{"kind": "kill", "of": "node:n9", "at_s": 1}]}, "faults[0].of"),
+    ({"faults": [{"kind": "cut", "of": "zone:c", "at_s": 1}]}, "faults[0].of"),
+    ({"faults": [{"kind": "kill", "of": "list", "at_s": 1}]}, "faults[0].of"),
+    ({"faults": [{"kind": "outage", "of": "nodes", "at_s": 1}]}, "faults[0].of"),
+    ({"faults": [{"kind": "loss", "of": "nodes", "at_s": 1}]}, "faults[0].part"),
+    ({"faults": [{"kind": "burn", "of": "nodes", "at_s": 1}]}, "faults[0].kind"),
+    ({"faults": [{"kind": "cut", "of": "127.0.0.1", "to": "10.0.0.1:80", "at_s": 1}]}, "faults[0].of"),
+    ({"faults": [{"kind": "cut", "of": "nodes", "to": "10.0.0.1:80", "at_s": 1}]}, "faults[0].to")])
+def test_a_fault_in_a_plan_is_named_before_anything_starts(change: dict[str, Any], named: str) -> None:
+    with pytest.raises(ConfigError) as caught:
+        parse({**PLAN, **change})
+    assert caught.value.key == named
+
+
+# The books
+
+
+def booked(keyed: bool = True) -> tuple[Account, Ask]:
+    account = Account(planned())
+    kind = account.plan.kinds[keyed]
+    return account, Ask(kind, "k1" if keyed else "", b"body", 0.0)
+
+
+def test_the_books_take_no_offence_at_an_answer_in_time_and_a_run_of_a_key_on_each_of_two_nodes() -> None:
+    account, ask = booked()
+    for call, node in (("t1", "n1"), ("t2", "n2")):
+        one = account.note_sent(0.0, call, node, ask)
+        account.note_run(0.1, node, call)
+        account.note_answer(0.2, one, "served", b"+body")
+    account.close(100.0)
+    assert account.broken == []
+
+
+def test_the_books_catch_a_second_answer() -> None:
+    account, ask = booked()
+    one = account.note_sent(0.0, "t1", "n1", ask)
+    account.note_answer(0.1, one, "refused", b"")
+    account.note_answer(0.2, one, "served", b"+body")
+    assert account.broken == ["n1 answered t1 twice: refused, served"]
+
+
+def test_the_books_catch_a_lost_answer_unless_a_fault_stood_between() -> None:
+    account, ask = booked()
+    account.note_sent(0.0, "t1", "n1", ask)
+    account.note_ended(1.0, account.note_sent(0.0, "t2", "n1", ask), excused=False)
+    account.note_ended(1.0, account.note_sent(0.0, "t3", "n1", ask), excused=True)
+    account.close(100.0)
+    assert account.broken == ["n1 closed under t2", "n1 never answered t1", "n1 never answered t2"]
+
+
+def test_the_books_catch_a_late_answer_but_not_for_the_time_that_a_node_stood_still() -> None:
+    account, ask = booked()
+    first, second = (account.note_sent(0.0, call, node, ask) for call, node in (("t1", "n1"), ("t2", "n2")))
+    account.note_away("n2", 1.0, 3.0)
+    for one in (first, second):
+        account.note_answer(7.5, one, "failed", b"")
+    assert account.broken == ["n1 answered t1 1.370 s too late"]
+
+
+def test_the_books_catch_a_key_that_runs_twice_in_one_life_of_a_node() -> None:
+    account, ask = booked()
+    for call in ("t1", "t2"):
+        account.note_sent(0.0, call, "n1", ask)
+        account.note_run(0.1, "n1", call)
+    assert account.broken == ["n1 ran key k1 twice: t1 and t2"]
+    account.note_end_of_life("n1", 1.0)
+    account.note_sent(2.0, "t3", "n1", ask)
+    account.note_run(2.1, "n1", "t3")
+    assert len(account.broken) == 1
+
+
+def test_the_books_catch_a_result_that_no_run_made_and_a_run_that_nobody_asked_for() -> None:
+    account, ask = booked(keyed=False)
+    account.note_answer(0.1, account.note_sent(0.0, "t1", "n1", ask), "served", b"+other")
+    account.note_run(0.2, "n1", "t9")
+    assert account.broken == ["n1 served t1 with what no run made for it",
+                              "n1 ran t9, which no caller sent"]
+
+
+# The stand-ins
+
+
+def test_the_list_answers_late_past_its_capacity_and_then_not_at_all() -> None:
+    line = VirtualLine()
+    service = ListService(line, ListPlan(10, 0.0, 3.0, 1.0), Account(planned()))
+    came: dict[str, float] = {}
+
+    def answered(name: str) -> None:
+        came[name] = line.now
+
+    for number in range(30):
+        service.report(f"n{number}", partial(answered, f"n{number}"))
+    line.run(5.0)
+    assert len(came) == 10 and came["n0"] == pytest.approx(0.1) and came["n9"] == pytest.approx(1.0)
+
+
+def test_an_entry_of_the_list_lapses_but_not_in_an_outage_and_callers_see_it_late() -> None:
+    line = VirtualLine()
+    service = ListService(line, ListPlan(1000, 0.0, 3.0, 1.0), Account(planned()))
+
+    def look() -> None:
+        service.look()
+        line.call_later(0.1, look)
+
+    look()
+    service.report("n1", lambda: None)
+    line.run(0.5)
+    assert service.count() == 1 and not service.as_seen()
+    line.run(2.0)
+    assert service.as_seen() == {"n1"}
+    service.outage(True)
+    service.report("n2", lambda: pytest.fail("answered while away"))
+    line.run(9.0)
+    assert service.count() == 1
+    service.outage(False)
+    line.run(11.9)
+    assert service.count() == 1
+    line.run(12.1)
+    assert service.count() == 0
+
+
+def test_a_service_below_slows_down_turns_away_falls_over_and_returns_cold() -> None:
+    line, account = VirtualLine(), Account(planned())
+    service = Below(line, BelowPlan(2, 100.0, 8, 4.0, 1.0, 2.0, 0.5, 10.0, False), "below", account)
+    came: list[tuple[float, str]] = []
+
+    def call() -> None:
+        service.call(lambda word: came.append((round(line.now, 3), word)))
+
+    call()
+    line.run(1.0)
+    assert came == [(0.1, "yes")]
+    for _ in range(9):
+        call()
+    assert came[1:] == [(1.0, "notnow")]
+    line.run(2.0)
+    assert came[-1] == (1.4, "yes"), "eight on two slots take four times as long"
+    for step in range(30):  # held full, it falls over
+        while len(service.held) < 8 and not service.down:
+            call()
+        if service.down:
+            break
+        line.run(2.0 + step / 10)
+    assert service.falls == 1 and service.down and "failed" in {word for _, word in came}
+    line.run(10.0)
+    assert not service.down
+    came.clear()
+    service._up_s = line.now
+    call()
+    line.run(11.0)
+    assert came == [(10.2, "yes")], "half as fast when it has just come back"
+
+
+# Links
+
+
+async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while data := await reader.read(100):
+        writer.write(data)
+
+
+def over_a_link(work: Callable[[Net, Address], Awaitable[None]]) -> None:
+    async def run() -> None:
+        net = Net(1)
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        try:
+            place = await net.through("x", "y", server.sockets[0].getsockname())
+            await asyncio.wait_for(work(net, place), 20)
+        finally:
+            net.close()
+            server.close()
+
+    asyncio.run(run())
+
+
+async def said(place: Address, text: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection and have a first word come back over it."""
+    reader, writer = await asyncio.open_connection(*place)
+    writer.write(text)
+    assert await reader.readexactly(len(text)) == text
+    return reader, writer
+
+
+def test_a_cut_link_loses_what_crosses_it_and_ends_its_connections_when_it_heals() -> None:
+    async def work(net: Net, place: Address) -> None:
+        reader, writer = await said(place, b"before")
+        fault = Fault("cut", 0, 0, *PAIR, one_way=True)
+        net.begin(fault)
+        writer.write(b"lost!")
+        with pytest.raises(asyncio.TimeoutError):
+            await asyncio.wait_for(reader.read(10), 0.3)
+        out = net.links["x", "y"].out
+        assert (out.crossed, out.swallowed) == (6, 5)
+        net.end(fault)
+        with pytest.raises(ConnectionResetError):
+            await reader.read(10)
+        await said(place, b"after")
+
+    over_a_link(work)
+
+
+def test_a_silent_link_accepts_holds_and_speaks_again_in_order() -> None:
+    async def work(net: Net, place: Address) -> None:
+        fault = Fault("silent", 0, 0, *PAIR)
+        net.begin(fault)
+        reader, writer = await asyncio.open_connection(*place)
+        for word in (b"one", b"two"):
+            writer.write(word)
+        with pytest.raises(asyncio.TimeoutError):
+            await asyncio.wait_for(reader.read(10), 0.3)
+        net.end(fault)
+        writer.write(b"three")
+        assert await reader.readexactly(11) == b"onetwothree"
+
+    over_a_link(work)
+
+
+def test_a_reset_link_ends_what_is_there_and_what_comes() -> None:
+    async def work(net: Net, place: Address) -> None:
+        reader, _ = await said(place, b"before")
+        fault = Fault("reset", 0, 0, *PAIR)
+        net.begin(fault)
+        with pytest.raises(ConnectionResetError):
+            await reader.read(10)
+        with pytest.raises(OSError):
+            await said(place, b"during")
+        net.end(fault)
+        await said(place, b"after")
+
+    over_a_link(work)
+
+
+def test_a_slow_link_delays_and_a_lossy_one_retransmits_but_neither_loses_or_reorders() -> None:
+    async def work(net: Net, place: Address) -> None:
+        for fault, least_s in ((Fault("delay", 0, 0, *PAIR, ms=100), 0.18),
+                               (Fault("loss", 0, 0, *PAIR, part=1.0), 0.38)):
+            reader, writer = await said(place, b"before")
+            net.begin(fault)
+            began = time.monotonic()
+            for number in range(5):
+                writer.write(b"%d" % number)
+                await asyncio.sleep(0.001)
+            assert await reader.readexactly(5) == b"01234"
+            assert time.monotonic() - began >= least_s
+            net.end(fault)
+
+    over_a_link(work)
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    def __init__(self) -> None:
+        self.came: list[int] = []
+
+    def datagram_received(self, data: bytes, came_from: Address) -> None:
+        self.came.append(int(data))
+
+
+@pytest.mark.parametrize(("fault", "low", "high", "sorted_"), [
+    (None, 200, 200, True),
+    (Fault("cut", 0, 0, *PAIR), 0, 0, True),
+    (Fault("loss", 0, 0, *PAIR, part=0.3), 110, 170, True),
+    (Fault("duplicate", 0, 0, *PAIR, part=0.3), 230, 290, True),
+    (Fault("reorder", 0, 0, *PAIR, part=0.3, ms=20), 200, 200, False),
+    (Fault("cut", 0, 0, PAIR[1], PAIR[0], one_way=True), 200, 200, True)])
+def test_datagrams_are_lost_doubled_and_overtaken_by_whose_they_are(
+        fault: Fault | None, low: int, high: int, sorted_: bool) -> None:
+    async def run() -> None:
+        net, loop = Net(1), asyncio.get_running_loop()
+        there, far = await loop.create_datagram_endpoint(Datagrams, ("127.0.0.1", 0))
+        net.party_of["127.9.9.9"] = "x"
+        place = await net.inlet("y", there.get_extra_info("sockname"))
+        here, _ = await loop.create_datagram_endpoint(Datagrams, ("127.9.9.9", 0))
+        if fault:
+            net.begin(fault)
+        for number in range(200):
+            here.sendto(b"%d" % number, place)
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.2)
+        way = net.links["x", "y"].out
+        assert low <= len(far.came) <= high and len(far.came) + way.swallowed >= 200
+        assert (far.came == sorted(far.came)) is sorted_
+        net.close()
+        there.close()
+        here.close()
+
+    asyncio.run(run())
+
+
+# With real nodes
+
+
+def test_nodes_that_are_killed_stopped_cut_off_restarted_and_starved_break_no_rule(tmp_path: Path) -> None:
+    plan = planned({"kind": "kill", "of": "node:n1", "at_s": 0.5, "for_s": 1},
+                   {"kind": "stop", "of": "node:n2", "at_s": 0.5, "for_s": 1},
+                   {"kind": "restart", "of": "node:n3", "at_s": 1},
+                   {"kind": "starve", "of": "node:n4", "at_s": 0.5, "for_s": 2, "part": 0.3},
+                   {"kind": "cut", "of": "callers:a", "to": "node:n4", "at_s": 1, "for_s": 0.5},
+                   {"kind": "slow", "of": "below", "at_s": 2, "for_s": 0.5, "part": 0.5},
+                   {"kind": "surge", "at_s": 2, "for_s": 1, "part": 2}, seconds=4)
+    account = play(plan, tmp_path)
+    assert account.broken == []
+    figures = account.figures()
+    assert figures["served_worth"] > 0.7 and figures["asked"] > 100, figures
+    log = (tmp_path / "n3.log").read_text()
+    assert log.count("listens on") == 2 and "left after" in log
+    assert (tmp_path / "n1.log").read_text().count("listens on") == 2
+
+
+def test_an_outage_of_the_list_loses_no_entry_and_the_books_see_who_reports(tmp_path: Path) -> None:
+    plan = planned({"kind": "outage", "of": "list", "at_s": 0.5, "for_s": 4}, seconds=5)
+    account = play(plan, tmp_path)
+    figures = account.figures()
+    assert account.broken == [] and account.counts["reports_unread"] > 0
+    assert figures["all_listed_s"] is not None and figures["served_worth"] > 0.9, figures
+
+
+def test_every_process_ends_by_its_id_when_the_rig_is_interrupted(tmp_path: Path) -> None:
+    path = tmp_path / "plan.toml"
+    path.write_text('[run]\nseconds = 60\n[[zones]]\nname = "a"\nnodes = 2\n[[classes]]\nname = "s"\n')
+    rig = subprocess.Popen([sys.executable, "-m", "reelusher.lab.fleet", str(path), "--logs", str(tmp_path)],
+                           cwd=ROOT, stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
+    logs = [tmp_path / "n1.log", tmp_path / "n2.log"]
+    until = time.monotonic() + 60
+    while time.monotonic() < until:
+        if all(log.exists() and "listens on" in log.read_text() for log in logs):
+            break
+        time.sleep(0.05)
+    children = Path(f"/proc/{rig.pid}/task/{rig.pid}/children").read_text().split()
+    assert len(children) == 2
+    rig.send_signal(signal.SIGINT)
+    rig.wait(30)
+    for child in children:
+        with pytest.raises(ProcessLookupError):
+            os.kill(int(child), 0)
