--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -20,8 +20,8 @@
 from reelusher.core.model import (
     Answer, Arrived, Ask, CallOver, CallWanted, Dependency, DrainOrder, GaugesRead, KeyKeeper, KeyKept, Left,
     Message, Request, Result, Runner, RunOver, RunsLost, Verdict)
+from reelusher.core.pace import Pace
 from reelusher.core.timers import Timers
-from reelusher.drain.plan import Pace
 
 GAUGES_WAIT_US = 50_000  # a tick waits this long for its gauges, then goes without
 CALL_GRACE_US = 60_000  # a call is given up here when no reply has come this long after its time
--- a/reelusher/drain/plan.py
+++ b/reelusher/drain/plan.py
@@ -18,7 +18,6 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-FADE_S = 2.0  # the worst lateness that was seen counts half after this
 LAG_MOST_PART = 0.08  # of the whole drain: however late this process is, a stage moves by no more than that
 LEAVE_S = 0.25  # the process ends so long before the stop
 SHUT_S = 0.10  # for reading out, flushing and shutting all connections
@@ -30,29 +29,6 @@
 TELL_PART = 0.5  # callers are told after this part of the drain at the latest
 
 
-class Pace:
-    """How late this process does what is due: the worst that was seen lately, which fades.
-
-    On a core that is its own a timer is late by less than a millisecond. On one that is shared it is late by
-    all that others run meanwhile, and by the threads that wait for the interpreter; that is what stages of a
-    drain must be brought forward by.
-    """
-
-    def __init__(self) -> None:
-        self._late_s = 0.0
-        self._at_s = 0.0
-
-    def note(self, late_s: float, now_s: float) -> None:
-        """Note that something was done so many seconds after its time."""
-        self._late_s = max(late_s, self.late_s(now_s))
-        self._at_s = now_s
-
-    def late_s(self, now_s: float) -> float:
-        """Return the seconds by which things are late at present."""
-        faded: float = self._late_s * 0.5 ** (max(0.0, now_s - self._at_s) / FADE_S)
-        return faded
-
-
 @dataclass(slots=True, frozen=True)
 class Stages:
     """When each stage of a drain begins, in seconds of one clock; in order whatever is asked for."""
@@ -85,8 +61,8 @@
 def stages(signal_s: float, span_s: float, grace_s: float, late_s: float) -> Stages:
     """Plan a drain that was asked for at `signal_s` and must be over `span_s` later, all in seconds.
 
-    `grace_s` is how long callers may not have heard of it; `late_s` how late this process is, see `Pace`.
-    A span too short for all of it is shared out in the same proportions.
+    `grace_s` is how long callers may not have heard of it; `late_s` how late this process is, see
+    `core.pace`. A span too short for all of it is shared out in the same proportions.
     """
     room = TELL_PART * span_s - (LEAVE_S + SHUT_S + ANSWER_S + REFUSE_S)
     late = max(0.0, min(late_s, LAG_MOST_PART * span_s, room / 3))
--- a/reelusher/lab/fleet/__main__.py
+++ b/reelusher/lab/fleet/__main__.py
@@ -57,10 +57,10 @@
     given = parser.parse_args(argv)
     try:
         plan = read(given.plan, given.scale)
+        account = model.play(plan) if given.model else play(plan, given.logs)
     except ConfigError as error:
         print(f"plan: {error}", file=sys.stderr)
         return 2
-    account = model.play(plan) if given.model else play(plan, given.logs)
     figures = account.figures()
     print(table(figures))
     for line in account.broken[:MOST_TOLD]:
--- a/reelusher/lab/fleet/rig.py
+++ b/reelusher/lab/fleet/rig.py
@@ -13,7 +13,7 @@
 
 from reelusher.config.table import Address
 from reelusher.lab.fleet.account import Account
-from reelusher.lab.fleet.plan import Fault, Plan
+from reelusher.lab.fleet.plan import Fault, Plan, check_room
 from reelusher.lab.fleet.processes import Processes
 from reelusher.lab.fleet.relay import Net
 from reelusher.lab.fleet.stage import LOOK_S, Stage
@@ -172,6 +172,7 @@
 
 def play(plan: Plan, folder: Path | None = None) -> Account:
     """Play a plan. Logs and configurations of nodes go to `folder`, which is else a passing one."""
+    check_room(plan)
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -22,8 +22,8 @@
 from reelusher.core.counters import Counters
 from reelusher.core.model import DrainOrder, Message, Runner
 from reelusher.core.owner import Core
+from reelusher.core.pace import Pace
 from reelusher.drain.leave import Drained, lead
-from reelusher.drain.plan import Pace
 from reelusher.drain.signals import LOOK_S, SignalWatch
 from reelusher.fronts.platform import PlatformFront
 from reelusher.net import spawn
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -21,7 +21,8 @@
 
 from reelusher.core.counters import Counters
 from reelusher.core.model import DrainOrder, Verdict
-from reelusher.drain.plan import Facts, Pace, Quiet, Stages, Step, cheapest_first, next_step, stages
+from reelusher.core.pace import Pace
+from reelusher.drain.plan import Facts, Quiet, Stages, Step, cheapest_first, next_step, stages
 from reelusher.drain.signals import SignalWatch
 from reelusher.net import Outbox
 from reelusher.poller import Poller
