--- a/reelusher/lab/fleet/plan.py
+++ b/reelusher/lab/fleet/plan.py
@@ -12,7 +12,7 @@
 
 LINK = ("cut", "silent", "reset", "delay", "loss", "duplicate", "reorder")
 PROCESS = ("kill", "stop", "restart", "starve")
-SERVICE = ("outage", "late", "slow", "fall")
+SERVICE = {"outage": ("list",), "late": ("list",), "slow": ("below", "runtime."), "fall": ("below",)}
 EFFECTS = {"safe": "pure", "keyed": "token"}
 NODE_MB = 24  # resident memory of one node, measured at 16 to 24 MB on days of many nodes
 NODE_DESCRIPTORS = 24  # of the rig for each node: relays, callers' connections, runtime, list, below
@@ -200,8 +200,8 @@
         to = selector.settle(table.text("to", "others"), table.path("to"), of)
     if kind in PROCESS and not of <= set(selector.nodes):
         raise ConfigError(table.path("of"), f"{kind} is a fault of nodes")
-    if kind in SERVICE and not all(party.startswith(("list", "below", "runtime.")) for party in of):
-        raise ConfigError(table.path("of"), f"{kind} is a fault of the list, a service below or a runtime")
+    if kind in SERVICE and not all(party.startswith(SERVICE[kind]) for party in of):
+        raise ConfigError(table.path("of"), f"{kind} is a fault of {' or '.join(SERVICE[kind])}")
     needs_part = kind in ("loss", "duplicate", "reorder", "starve", "slow", "surge")
     return Fault(kind, table.number("at_s"), table.number("for_s", 0.0), of, to, table.flag("one_way", False),
                  table.number("ms", 0.0) if kind not in ("delay", "late") else table.number("ms"),
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -46,6 +46,8 @@
     ({"faults": [{"kind": "cut", "of": "zone:c", "at_s": 1}]}, "faults[0].of"),
     ({"faults": [{"kind": "kill", "of": "list", "at_s": 1}]}, "faults[0].of"),
     ({"faults": [{"kind": "outage", "of": "nodes", "at_s": 1}]}, "faults[0].of"),
+    ({"faults": [{"kind": "outage", "of": "below", "at_s": 1}]}, "faults[0].of"),
+    ({"faults": [{"kind": "fall", "of": "runtimes", "at_s": 1}]}, "faults[0].of"),
     ({"faults": [{"kind": "loss", "of": "nodes", "at_s": 1}]}, "faults[0].part"),
     ({"faults": [{"kind": "burn", "of": "nodes", "at_s": 1}]}, "faults[0].kind"),
     ({"faults": [{"kind": "cut", "of": "127.0.0.1", "to": "10.0.0.1:80", "at_s": 1}]}, "faults[0].of"),
