Read a rig's plan by what its fields say, and draw its pictures from 0

Each key of a plan was named three times (field, known keys, reading with bounds); fields now carry their bounds and one reader fills them through the checked tables.

--- a/reelusher/lab/fleet/__main__.py
+++ b/reelusher/lab/fleet/__main__.py
@@ -39,6 +39,7 @@
             axis.axvline(at_s, color="grey", linestyle=":", linewidth=1)
             if axis is axes[0]:
                 axis.annotate(what, (at_s, 1), xycoords=("data", "axes fraction"), rotation=60, fontsize=7)
+        axis.set_ylim(bottom=0)
         axis.set_ylabel(title)
         axis.legend(fontsize=7)
     axes[-1].set_xlabel("seconds of load")
--- a/reelusher/lab/fleet/account.py
+++ b/reelusher/lab/fleet/account.py
@@ -187,12 +187,12 @@
     # What came of it
 
     def _per_slot(self, times: list[float], slot_s: float) -> list[int]:
-        counted: Counter[int] = Counter(int(at / slot_s) for at in times if 0 <= at < self.plan.seconds)
-        return [counted[number] for number in range(max(1, int(self.plan.seconds / slot_s)))]
+        counted: Counter[int] = Counter(int(at / slot_s) for at in times if 0 <= at < self.plan.run.seconds)
+        return [counted[number] for number in range(max(1, int(self.plan.run.seconds / slot_s)))]
 
     def series(self) -> dict[str, list[float]]:
         """Return what happened in each second of the load, by when requests were first asked."""
-        count = max(1, int(self.plan.seconds))
+        count = max(1, int(self.plan.run.seconds))
         made: dict[str, list[float]] = {name: [0.0] * count for name in
                                         ("asked_worth", "served_worth", "served", "refused", "failed")}
         for ask in self.asks:
@@ -242,7 +242,7 @@
             "calls_per_request": round(len([at for at in self.calls if at >= 0]) / max(1, len(self.asks)), 3),
             "most_held": {name: max(held for _, held in spans) for name, spans in self.held.items()},
             "falls": sum("falls over" in what for _, what in self.marks),
-            "reports_per_node_s": round(sum(slots) / self.plan.seconds / count, 3),
+            "reports_per_node_s": round(sum(slots) / self.plan.run.seconds / count, 3),
             "reports_most_in_100ms": max(slots), "reports_mean_in_100ms": round(mean, 2),
             "all_listed_s": self.all_listed_s(count),
             "recovered_s": None if ends is None else self.recovered_s(ends, faults[0].at_s),
--- a/reelusher/lab/fleet/callers.py
+++ b/reelusher/lab/fleet/callers.py
@@ -28,7 +28,7 @@
                  names: "itertools.count[int]") -> None:
         self.line, self.plan, self.zone, self.number, self.account = line, plan, zone, number, account
         self.listed, self.way, self.rate, self.names = listed, way, rate, names
-        self.random = random.Random(f"{plan.seed} caller {number}")
+        self.random = random.Random(f"{plan.run.seed} caller {number}")
         self.heeds = self.random.random() < plan.habits.heeds
         self.out: Counter[str] = Counter()
         self.tokens: dict[str, tuple[float, float]] = {}  # of nodes: how many, until when
@@ -43,7 +43,7 @@
     def _next(self) -> None:
         now = self.line.time() - self.account.zero_s
         wait_s = self.random.expovariate(self.rate * max(0.001, self.plan.factor(now)))
-        if now + wait_s < self.plan.seconds:
+        if now + wait_s < self.plan.run.seconds:
             self.line.call_later(wait_s, self._ask)
 
     def _ask(self) -> None:
--- a/reelusher/lab/fleet/model.py
+++ b/reelusher/lab/fleet/model.py
@@ -238,11 +238,11 @@
         plan, account = self.plan, self.account
         self.look()
         for number, name in enumerate(self.runtimes):
-            self.line.call_later(number * plan.spread_s / len(self.runtimes), self.start_node, name)
-        while self.virtual.now < plan.wait_s and not self.all_seen():
+            self.line.call_later(number * plan.run.spread_s / len(self.runtimes), self.start_node, name)
+        while self.virtual.now < plan.run.wait_s and not self.all_seen():
             self.virtual.run(self.virtual.now + 0.02)
         self.begin_load(self)
-        until = account.zero_s + plan.seconds
+        until = account.zero_s + plan.run.seconds
         self.virtual.run(until)
         while self.virtual.now < until + plan.longest_s() + 2 and not account.settled():
             self.virtual.run(self.virtual.now + STEP_S)
--- a/reelusher/lab/fleet/plan.py
+++ b/reelusher/lab/fleet/plan.py
@@ -1,15 +1,17 @@
 """What a run of many nodes does, read from TOML; every fault is a `ConfigError` that names the key."""
 
+import math
 import random
 import resource
 import tomllib
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
+from dataclasses import MISSING, dataclass, field, fields, replace
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar, get_type_hints
 
 from reelusher.config.table import ConfigError, Table
 
+T = TypeVar("T")
 LINK = ("cut", "silent", "reset", "delay", "loss", "duplicate", "reorder")
 PROCESS = ("kill", "stop", "restart", "starve")
 SERVICE = {"outage": ("list",), "late": ("list",), "slow": ("below", "runtime."), "fall": ("below",)}
@@ -19,20 +21,31 @@
 MOST_NODES = 1000
 
 
+def bounded(default: float | None = None, least: float = 0.0, most: float = math.inf) -> Any:
+    """Return a field with a default (None: it must be given) and bounds."""
+    bounds = {"least": least, "most": most}
+    return field(metadata=bounds) if default is None else field(default=default, metadata=bounds)
+
+
 @dataclass(slots=True, frozen=True)
 class Kind:
     """A class of requests. Worth is that of one request answered within `aim_ms`."""
 
     name: str
-    share: float  # of the load
-    work_ms: float  # mean, on one core at full speed
-    aim_ms: float
-    deadline_ms: float
-    worth: float
-    keyed: bool
-    calls: bool  # each run makes one call below
-    skip_worth: float  # part of the worth where that call was left out
-    window_ms: float  # of a keyed class
+    share: float = bounded(1.0)  # of the load
+    work_ms: float = bounded(60.0, 0.1)  # mean, on one core at full speed
+    aim_ms: float = bounded(2000.0, 1.0)
+    deadline_ms: float = bounded(6000.0, 10.0)
+    worth: float = bounded(1.0)
+    effect: str = "safe"
+    calls: bool = False  # each run makes one call below
+    skip_worth: float = bounded(0.0, 0.0, 1.0)  # part of the worth where that call was left out
+    window_ms: float = bounded(20_000.0, 1.0)  # of a keyed class
+
+    @property
+    def keyed(self) -> bool:
+        """Tell whether its requests have keys."""
+        return self.effect == "keyed"
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,56 +53,56 @@
     """A zone: its nodes, and the callers that sit there."""
 
     name: str
-    nodes: int
-    callers: int
+    nodes: int = bounded(None, 0, MOST_NODES)
+    callers: int = bounded(2, 0, 1000)
 
 
 @dataclass(slots=True, frozen=True)
 class ListPlan:
-    """The list service. Reports past its capacity are answered late, past twice that not at all."""
+    """The list service. Reports past its capacity are answered late, past a second's worth not at all."""
 
-    capacity: float  # reports a second
-    answer_ms: float
-    lapse_s: float  # an entry comes off so long after its last report
-    notice_s: float  # callers see changes so much later
+    capacity: float = bounded(1000.0, 0.1)  # reports a second
+    answer_ms: float = bounded(2.0)
+    lapse_s: float = bounded(3.0, 0.1)  # an entry comes off so long after its last report
+    notice_s: float = bounded(1.0)  # callers see changes so much later
 
 
 @dataclass(slots=True, frozen=True)
 class BelowPlan:
     """A service below that all runs may call."""
 
-    slots: int  # calls served side by side at full speed
-    service_ms: float
-    most: int  # calls in hand past which it turns away
-    capacity: float  # calls in hand, in the mean of `over_s`, past which it falls over
-    over_s: float
-    down_s: float  # it is gone so long then,
-    cold_from: float  # and starts again at this part of its speed
-    cold_s: float
-    starts_cold: bool
-    per_zone: bool
+    slots: int = bounded(40, 1)  # calls served side by side at full speed
+    service_ms: float = bounded(30.0, 0.1)
+    most: int = bounded(320, 1)  # calls in hand past which it turns away
+    capacity: float = bounded(160.0, 0.1)  # calls in hand, in the mean of `over_s`, past which it falls over
+    over_s: float = bounded(5.0, 0.1)
+    down_s: float = bounded(5.0)  # it is gone so long then,
+    cold_from: float = bounded(0.3, 0.01, 1.0)  # and starts again at this part of its speed
+    cold_s: float = bounded(8.0, 0.1)
+    starts_cold: bool = False
+    per_zone: bool = False
 
 
 @dataclass(slots=True, frozen=True)
 class NodePlan:
     """A node's machine."""
 
-    cores: int
-    memory_kb: float
-    read_ms: float  # work of reading one request, whatever is decided
-    cold_from: float  # part of its speed when cold
-    cold_s: float
-    starts_cold: bool  # also at the start of the run; after that a node that starts is cold
-    stop_ms: int
+    cores: int = bounded(2, 1)
+    memory_kb: float = bounded(40_000.0, 1.0)
+    read_ms: float = bounded(0.0)  # work of reading one request, whatever is decided
+    cold_from: float = bounded(1.0, 0.01, 1.0)  # part of its speed when cold
+    cold_s: float = bounded(10.0, 0.1)
+    starts_cold: bool = False  # also at the start of the run; after that a node that starts is cold
+    stop_ms: int = bounded(4000, 500)
 
 
 @dataclass(slots=True, frozen=True)
 class Habits:
     """What callers do (minutes of the first meeting, section 4)."""
 
-    tries: int  # of one request at most; 0: without limit
-    wait_ms: float  # before the next try
-    heeds: float  # part of callers that follow advice
+    tries: int = bounded(3)  # of one request at most; 0: without limit
+    wait_ms: float = bounded(20.0)  # before the next try
+    heeds: float = bounded(0.85, 0.0, 1.0)  # part of callers that follow advice
 
 
 @dataclass(slots=True, frozen=True)
@@ -106,15 +119,22 @@
     part: float = 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class Run:
+    """How long and how much."""
+
+    seconds: float = bounded(20.0, 0.1, 3600)  # of load
+    wait_s: float = bounded(30.0)  # the load begins once callers see all nodes, or after this
+    spread_s: float = bounded(0.2)  # nodes are started within this
+    seed: int = bounded(1)
+    rate: float = bounded(20.0, 0.0, 100_000)  # requests each second in all
+
+
 @dataclass(slots=True, frozen=True)
 class Plan:
     """One run."""
 
-    seconds: float  # of load
-    wait_s: float  # the load begins once all nodes are listed, or after this
-    spread_s: float  # nodes are started within this
-    seed: int
-    rate: float  # requests each second in all
+    run: Run
     zones: tuple[Zone, ...]
     kinds: tuple[Kind, ...]
     nodes: NodePlan
@@ -156,7 +176,7 @@
     """Settles words such as `node:n3`, `nodes:a`, `zone:a`, `part:0.3`, `runtimes`, `list`, `others`."""
 
     def __init__(self, plan: Plan) -> None:
-        self.zone_of, self.random = plan.zone_of(), random.Random(plan.seed)
+        self.zone_of, self.random = plan.zone_of(), random.Random(plan.run.seed)
         self.nodes = plan.node_names()
         self.parties = {*self.zone_of, *plan.belows(), "list"}
 
@@ -208,14 +228,15 @@
                  table.number("part", None, 0.001, 100.0) if needs_part else 0.0)
 
 
-def _kind(table: Table) -> Kind:
-    table.only("name", "share", "work_ms", "aim_ms", "deadline_ms", "worth", "effect", "calls", "skip_worth",
-               "window_ms")
-    return Kind(table.text("name"), table.number("share", 1.0), table.number("work_ms", 60.0, 0.1),
-                table.number("aim_ms", 2000.0, 1.0), table.number("deadline_ms", 6000.0, 10.0),
-                table.number("worth", 1.0), table.word("effect", tuple(EFFECTS), "safe") == "keyed",
-                table.flag("calls", False), table.number("skip_worth", 0.0, 0.0, 1.0),
-                table.number("window_ms", 20_000.0, 1.0))
+def _filled(made: type[T], table: Table) -> T:
+    """Read a table as what its fields say."""
+    kinds = get_type_hints(made)
+    table.only(*kinds)
+    readers: dict[Any, Callable[..., Any]] = {
+        float: table.number, int: table.whole, bool: table.flag, str: table.text}
+    return made(**{one.name: readers[kinds[one.name]](
+        one.name, None if one.default is MISSING else one.default, **one.metadata)
+        for one in fields(made)})  # type: ignore[arg-type]
 
 
 def scaled(value: dict[str, Any], factor: float) -> dict[str, Any]:
@@ -234,44 +255,19 @@
     """Check a plan."""
     table = Table(value)
     table.only("run", "zones", "classes", "nodes", "list", "below", "callers", "faults")
-    run, nodes, listed = table.table("run"), table.table("nodes"), table.table("list")
-    below, callers = table.table("below"), table.table("callers")
-    run.only("seconds", "wait_s", "spread_s", "seed", "rate")
-    nodes.only("cores", "memory_kb", "read_ms", "cold_from", "cold_s", "starts_cold", "stop_ms")
-    listed.only("capacity", "answer_ms", "lapse_s", "notice_s")
-    below.only("slots", "service_ms", "most", "capacity", "over_s", "down_s", "cold_from", "cold_s",
-               "starts_cold", "per_zone")
-    callers.only("tries", "wait_ms", "heeds")
-    zones = []
-    for entry in table.tables("zones"):
-        entry.only("name", "nodes", "callers")
-        zones.append(Zone(entry.text("name"), entry.whole("nodes", None, 0, MOST_NODES),
-                          entry.whole("callers", 2, 0, 1000)))
-    kinds = tuple(_kind(entry) for entry in table.tables("classes"))
+    zones = tuple(_filled(Zone, entry) for entry in table.tables("zones"))
+    kinds = tuple(_filled(Kind, entry) for entry in table.tables("classes"))
+    for entry in table.tables("classes"):
+        entry.word("effect", tuple(EFFECTS), "safe")
     if not kinds:
         raise ConfigError("classes", "at least one is needed")
     if len({zone.name for zone in zones}) != len(zones) or not sum(zone.nodes for zone in zones):
         raise ConfigError("zones", "each needs a name of its own, and one of them a node")
-    slots = below.whole("slots", 40, 1)
-    made = Plan(
-        run.number("seconds", 20.0, 0.1, 3600), run.number("wait_s", 30.0), run.number("spread_s", 0.2),
-        run.whole("seed", 1), run.number("rate", 20.0, 0.0, 100_000), tuple(zones), kinds,
-        NodePlan(nodes.whole("cores", 2, 1), nodes.number("memory_kb", 40_000.0, 1.0),
-                 nodes.number("read_ms", 0.0), nodes.number("cold_from", 1.0, 0.01, 1.0),
-                 nodes.number("cold_s", 10.0, 0.1), nodes.flag("starts_cold", False),
-                 nodes.whole("stop_ms", 4000, 500)),
-        ListPlan(listed.number("capacity", 1000.0, 0.1), listed.number("answer_ms", 2.0),
-                 listed.number("lapse_s", 3.0, 0.1), listed.number("notice_s", 1.0)),
-        BelowPlan(slots, below.number("service_ms", 30.0, 0.1), below.whole("most", 8 * slots, 1),
-                  below.number("capacity", 4.0 * slots, 0.1), below.number("over_s", 5.0, 0.1),
-                  below.number("down_s", 5.0), below.number("cold_from", 0.3, 0.01, 1.0),
-                  below.number("cold_s", 8.0, 0.1), below.flag("starts_cold", False),
-                  below.flag("per_zone", False)),
-        Habits(callers.whole("tries", 3), callers.number("wait_ms", 20.0),
-               callers.number("heeds", 0.85, 0, 1)), ())
+    made = Plan(_filled(Run, table.table("run")), zones, kinds, _filled(NodePlan, table.table("nodes")),
+                _filled(ListPlan, table.table("list")), _filled(BelowPlan, table.table("below")),
+                _filled(Habits, table.table("callers")), ())
     selector = Selector(made)
-    faults = tuple(_fault(entry, selector) for entry in table.tables("faults"))
-    return Plan(**{name: getattr(made, name) for name in Plan.__slots__ if name != "faults"}, faults=faults)
+    return replace(made, faults=tuple(_fault(entry, selector) for entry in table.tables("faults")))
 
 
 def check_room(plan: Plan) -> None:
--- a/reelusher/lab/fleet/processes.py
+++ b/reelusher/lab/fleet/processes.py
@@ -25,7 +25,7 @@
 
 def seed_of(plan: Plan, name: str) -> int:
     """Return the seed that a node is told."""
-    return random.Random(f"{plan.seed} {name}").getrandbits(48)
+    return random.Random(f"{plan.run.seed} {name}").getrandbits(48)
 
 
 def settings(plan: Plan, fresh: bool) -> dict[str, Any]:
--- a/reelusher/lab/fleet/rig.py
+++ b/reelusher/lab/fleet/rig.py
@@ -37,7 +37,7 @@
     def __init__(self, plan: Plan, folder: Path) -> None:
         self.loop = asyncio.get_running_loop()
         super().__init__(plan, self.loop)
-        self.net, self.processes = Net(plan.seed), Processes(plan, folder)
+        self.net, self.processes = Net(plan.run.seed), Processes(plan, folder)
         self.hosts = {name: RuntimeHost(runtime) for name, runtime in self.runtimes.items()}
         self.places: dict[str, Address] = {}
         self.starved: dict[str, float] = {}  # the part of the time that a node runs for
@@ -56,13 +56,13 @@
             self.look()
             self._beat(self.loop.time())
             for number, name in enumerate(self.places):
-                self.loop.call_later(number * plan.spread_s / len(self.places), self.start_node, name)
-            until = self.loop.time() + plan.wait_s
+                self.loop.call_later(number * plan.run.spread_s / len(self.places), self.start_node, name)
+            until = self.loop.time() + plan.run.wait_s
             while self.loop.time() < until and not self.all_seen():
                 await asyncio.sleep(0.02)
             self.begin_load(Lines(self.net, self.places, lambda name: name not in self.dead,
                                   lambda name: self.runtimes[name].read()))
-            await asyncio.sleep(plan.seconds)
+            await asyncio.sleep(plan.run.seconds)
             until = self.loop.time() + plan.longest_s() + LAST_S
             while self.loop.time() < until and not account.settled():
                 await asyncio.sleep(LOOK_S)
@@ -179,7 +179,7 @@
     async def work(where: Path) -> Account:
         rig = Rig(plan, where)
         with rig.processes:
-            last_s = plan.wait_s + plan.seconds + plan.longest_s() + 60
+            last_s = plan.run.wait_s + plan.run.seconds + plan.longest_s() + 60
             return await asyncio.wait_for(rig.play(), last_s)
 
     with contextlib.ExitStack() as stack:
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -379,7 +379,7 @@
     folder = ROOT / "reelusher" / "lab" / "fleet" / "plans"
     files = [folder / "base.toml", folder / f"{fault}.toml"]
     plan = read(files, 10)
-    assert len(plan.node_names()) == 60 and plan.below.slots == 30 and plan.rate == 200
+    assert len(plan.node_names()) == 60 and plan.below.slots == 30 and plan.run.rate == 200
     assert len(read(files).node_names()) == 6
 
 
