Run the rig ahead of its nodes, and judge a close by all the time it saw nothing

The rig had been late twice by up to 2.1 s and wrote to a connection that was closed; the books allowed for the worst lag, now for the sum of all since.

--- a/reelusher/lab/fleet/processes.py
+++ b/reelusher/lab/fleet/processes.py
@@ -60,6 +60,7 @@
     def __init__(self, plan: Plan, folder: Path) -> None:
         self.plan, self.folder, self.command = plan, folder, run_command()
         self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self.nice = 0
         self.configs: dict[str, dict[str, Any]] = {}
 
     def __enter__(self) -> "Processes":
@@ -90,6 +91,7 @@
             self.running[name] = subprocess.Popen(
                 self.command, cwd=ROOT, env={**os.environ, "PROXY_CONFIG": str(path)},
                 stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True)
+        os.setpriority(os.PRIO_PROCESS, self.running[name].pid, self.nice)  # not the rig's, see `rig.play`
 
     def send(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a node that runs."""
--- a/reelusher/lab/fleet/rig.py
+++ b/reelusher/lab/fleet/rig.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import resource
 import signal
 import socket
@@ -21,6 +22,7 @@
 
 BEAT_S = 0.01
 STARVE_S = 0.02  # a starved node is stopped and continued within each such span
+AHEAD = -10  # of the rig's own priority before that of its nodes, where that is allowed
 LAST_S = 2.0  # beyond the longest deadline
 SERVICES = "127.200.0.2"  # where the stand-ins listen, behind the relays
 FAULTS = ("Traceback", " ERROR ")  # words in a node's log that spoil a run
@@ -178,11 +180,16 @@
 
     async def work(where: Path) -> Account:
         rig = Rig(plan, where)
+        rig.processes.nice = own
         with rig.processes:
             last_s = plan.run.wait_s + plan.run.seconds + plan.longest_s() + 60
             return await asyncio.wait_for(rig.play(), last_s)
 
+    own = os.getpriority(os.PRIO_PROCESS, 0)
     with contextlib.ExitStack() as stack:
+        with contextlib.suppress(PermissionError):  # hundreds that start at once would hold up the books
+            os.setpriority(os.PRIO_PROCESS, 0, own + AHEAD)
+            stack.callback(os.setpriority, os.PRIO_PROCESS, 0, own)
         where = folder or Path(stack.enter_context(tempfile.TemporaryDirectory()))
         where.mkdir(parents=True, exist_ok=True)
         return asyncio.run(work(where))
--- a/reelusher/lab/fleet/wires.py
+++ b/reelusher/lab/fleet/wires.py
@@ -230,7 +230,7 @@
             touched = not self.alive(self.node) or self.link.touched_since(now - age_s)
             # what the relay could not hand on never came to the node
             unread = pair is None or pair.reached < self.upto[number]
-            crossed = age_s <= CROSSING_S + account.lag_since(one.sent_s)
+            crossed = age_s <= CROSSING_S + account.blind_since(one.sent_s)
             self.caller.broken(one, touched or unread or crossed, ran=not unread and not crossed)
 
 
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -111,6 +111,14 @@
     assert account.broken == ["n1 answered t1 1.370 s too late"]
 
 
+def test_the_books_know_how_late_the_rig_was_at_worst_and_in_all() -> None:
+    account = Account(planned())
+    for at_s, lag_s in ((1.0, 0.4), (2.0, 0.002), (3.0, 0.2), (4.0, 0.1)):
+        account.note_lag(at_s, lag_s)
+    assert account.lag_since(2.5) == 0.2 and account.blind_since(2.5) == pytest.approx(0.3)
+    assert account.lag_since(0.0) == 0.4 and account.blind_since(5.0) == 0
+
+
 def test_the_books_catch_a_key_that_runs_twice_in_one_life_of_a_node() -> None:
     account, ask = booked()
     for call in ("t1", "t2"):
