--- a/reelusher/lab/fleet/wires.py
+++ b/reelusher/lab/fleet/wires.py
@@ -63,25 +63,38 @@
                 self.transport.abort()
 
 
-class BelowWire(Wire):
-    """One connection of a node to a service below."""
+class Asks:
+    """Splits what a node sends to a service below into words, call and body."""
 
-    def __init__(self, service: Below) -> None:
-        self.service, self.buffer, self.open = service, b"", dict[str, int]()
+    def __init__(self) -> None:
+        self.buffer = b""
 
-    def take(self, data: bytes) -> None:
+    def feed(self, data: bytes) -> list[tuple[str, str, bytes]]:
+        """Take more bytes and return what is whole by now."""
         self.buffer += data
+        found = []
         while b"\r\n" in self.buffer:
             head, rest = self.buffer.split(b"\r\n", 1)
             words = head.decode().split(" ")
             size = int(words[3]) if words[0] == "ask" else -2
             if len(rest) < size + 2:
-                return
+                break
+            found.append((words[0], words[1], rest[:max(size, 0)]))
             self.buffer = rest[size + 2:]
-            number = self.open.pop(words[1], 0)
-            self.service.give_up(number)
-            if words[0] == "ask":
-                self.ask(words[1])
+        return found
+
+
+class BelowWire(Wire):
+    """One connection of a node to a service below."""
+
+    def __init__(self, service: Below) -> None:
+        self.service, self.decoder, self.open = service, Asks(), dict[str, int]()
+
+    def take(self, data: bytes) -> None:
+        for word, call, _ in self.decoder.feed(data):
+            self.service.give_up(self.open.pop(call, 0))
+            if word == "ask":
+                self.ask(call)
 
     def ask(self, call: str) -> None:
         """Have the service take a call."""
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from reelusher.lab.fleet.wires import Asks
 from reelusher.wire import ajp13, http1, lines, msgpack
 
 PATIENCE_S = 10.0  # for what is expected; generous, so that a busy machine gives the same verdict
@@ -217,7 +218,7 @@
     """The vault: `expect ask ID BODY`, `send $X yes BODY`, `send $X notnow`."""
 
     def codec(self) -> tuple[Any, Callable[[Any], str | None]]:
-        return Asks(), str
+        return Asks(), lambda ask: f"{ask[0]} {ask[1]} {ask[2].decode()}".strip()
 
     def send(self, words: Words) -> None:
         call = self.names.get(words[0][1:], words[0])
@@ -226,26 +227,6 @@
         self.write(f"{call} {words[1]}".encode() + tail + b"\r\n")
 
 
-class Asks:
-    """Splits what a node sends to the vault."""
-
-    def __init__(self) -> None:
-        self.buffer = b""
-
-    def feed(self, data: bytes) -> list[str]:
-        self.buffer += data
-        found = []
-        while b"\r\n" in self.buffer:
-            head, rest = self.buffer.split(b"\r\n", 1)
-            words = head.decode().split(" ")
-            size = int(words[3]) if words[0] == "ask" else -2
-            if len(rest) < size + 2:
-                break
-            found.append(f"{words[0]} {words[1]} {rest[:max(size, 0)].decode()}".strip())
-            self.buffer = rest[size + 2:]
-        return found
-
-
 class CatalogParty(Server):
     """The catalog: answers 204, or what `send answer 500` says."""
 
