Say each thing of the rig once, and tell connections of one port apart

Written twice and now once: whom a fault of links meets (relays and model), how speed warms and means fade (service below and runtime), how nodes are started and how long is waited (rig and model), a command of the deploy file (rig and test). Gone: a counter and parameters that nothing read, a second parse of a plan. The list no longer goes through all its entries for each report.

A fault found: what reached a node was looked up by the caller's address alone, but a kernel gives a port again where the other end differs, so one connection could have been judged by another's bytes. Each link now keeps its own; a test opens two connections from one port.

--- a/reelusher/lab/fleet/account.py
+++ b/reelusher/lab/fleet/account.py
@@ -63,7 +63,6 @@
         self.marks: list[tuple[float, str]] = []
         self.lags: list[tuple[float, float]] = []  # when the rig was late, and by how much
         self.runs: dict[str, list[tuple[float, str]]] = defaultdict(list)  # by keyed request and node
-        self.made: Counter[str] = Counter()  # runs by try
         self.broken: list[str] = []
         self.away: dict[str, list[tuple[float, float]]] = defaultdict(list)  # of nodes that stood still
         self.lives: dict[str, float] = {}  # when nodes' former lives ended
@@ -105,7 +104,7 @@
         self.reports.append(now - self.zero_s)
         self.counts["reports_read" if read else "reports_unread"] += 1
 
-    def note_call(self, now: float, name: str) -> None:
+    def note_call(self, now: float) -> None:
         """Note a call below."""
         self.calls.append(now - self.zero_s)
 
@@ -115,7 +114,6 @@
 
     def note_run(self, now: float, node: str, call: str) -> None:
         """Note a run; a keyed request runs once in its window on a node that lives on."""
-        self.made[call] += 1
         found = self.tries.get(call)
         if found is None:
             self.broken.append(f"{node} ran {call}, which no caller sent")
--- a/reelusher/lab/fleet/callers.py
+++ b/reelusher/lab/fleet/callers.py
@@ -27,7 +27,7 @@
     def __init__(self, line: Timeline, plan: Plan, zone: str, number: int, account: Account,
                  listed: Callable[[], frozenset[str]], way: Way, rate: float,
                  names: "itertools.count[int]") -> None:
-        self.line, self.plan, self.zone, self.number, self.account = line, plan, zone, number, account
+        self.line, self.plan, self.number, self.account = line, plan, number, account
         self.listed, self.way, self.rate, self.names = listed, way, rate, names
         self.random = random.Random(f"{plan.run.seed} caller {number}")
         self.heeds = self.random.random() < plan.habits.heeds
--- a/reelusher/lab/fleet/model.py
+++ b/reelusher/lab/fleet/model.py
@@ -19,7 +19,7 @@
 from reelusher.lab.fleet.plan import Fault, Plan
 from reelusher.lab.fleet.processes import seed_of, settings
 from reelusher.lab.fleet.services import Job, Runtime, result_of
-from reelusher.lab.fleet.stage import Stage
+from reelusher.lab.fleet.stage import LAST_S, Stage
 from reelusher.lab.fleet.virtual import VirtualLine
 from reelusher.settings import settings_from
 
@@ -236,15 +236,13 @@
     def play(self) -> Account:
         """Play the plan and return the books."""
         plan, account = self.plan, self.account
-        self.look()
-        for number, name in enumerate(self.runtimes):
-            self.line.call_later(number * plan.run.spread_s / len(self.runtimes), self.start_node, name)
+        self.begin_nodes()
         while self.virtual.now < plan.run.wait_s and not self.all_seen():
             self.virtual.run(self.virtual.now + 0.02)
         self.begin_load(self)
         until = account.zero_s + plan.run.seconds
         self.virtual.run(until)
-        while self.virtual.now < until + plan.longest_s() + 2 and not account.settled():
+        while self.virtual.now < until + plan.longest_s() + LAST_S and not account.settled():
             self.virtual.run(self.virtual.now + STEP_S)
         account.close(self.virtual.now)
         return account
@@ -260,9 +258,7 @@
 
     def passes(self, source: str, target: str) -> bool:
         """Tell whether a message gets through at present."""
-        return not any((source in fault.of and target in fault.to)
-                       or (not fault.one_way and source in fault.to and target in fault.of)
-                       for fault in self._standing)
+        return not any(fault.stands_between(source, target) for fault in self._standing)
 
     # Faults
 
--- a/reelusher/lab/fleet/plan.py
+++ b/reelusher/lab/fleet/plan.py
@@ -119,6 +119,11 @@
     ms: float = 0.0
     part: float = 0.0
 
+    def stands_between(self, source: str, target: str) -> bool:
+        """Tell whether this fault of links is met by what goes from one party to another."""
+        there = source in self.of and target in self.to
+        return there or (not self.one_way and source in self.to and target in self.of)
+
 
 @dataclass(slots=True, frozen=True)
 class Run:
@@ -298,5 +303,5 @@
                 whole[name] = {**known, **part} if both and isinstance(known, dict) else part
         except (OSError, ValueError) as error:
             raise ConfigError(str(path), str(error)) from None
-    parse(whole)
-    return parse(scaled(whole, scale)) if scale != 1 else parse(whole)
+    plan = parse(whole)
+    return parse(scaled(whole, scale)) if scale != 1 else plan
--- a/reelusher/lab/fleet/processes.py
+++ b/reelusher/lab/fleet/processes.py
@@ -17,9 +17,9 @@
 ROOT = Path(__file__).parents[3]
 
 
-def run_command() -> list[str]:
-    """Return `run` of the deploy file, with the interpreter that this one is."""
-    text = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+def deployed(command: str) -> list[str]:
+    """Return a command of the deploy file as the platform starts it, with this interpreter."""
+    text = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())[command]
     return ["/bin/sh", "-c", text.replace(".venv/bin/python", sys.executable)]
 
 
@@ -30,7 +30,6 @@
 
 def settings(plan: Plan, fresh: bool) -> dict[str, Any]:
     """Return what the platform would tell each node of this plan, `fresh` where its machine is cold."""
-    words = {keyed: EFFECTS["keyed" if keyed else "safe"] for keyed in (True, False)}
     count = len(plan.node_names())
     own = {
         "cores": plan.nodes.cores, "ram_kb": plan.nodes.memory_kb, "blowup": 16.0, "entry_kb": 10.0,
@@ -44,7 +43,7 @@
         "fresh_start": fresh}
     return {
         "categories": [{
-            "name": kind.name, "effect": words[kind.keyed], "deadline_us": int(kind.deadline_ms * 1000),
+            "name": kind.name, "effect": EFFECTS[kind.effect], "deadline_us": int(kind.deadline_ms * 1000),
             "objective_us": int(kind.aim_ms * 1000), "worth": kind.worth,
             "repeat_window_us": int(kind.window_ms * 1000) if kind.keyed else 0} for kind in plan.kinds],
         "family_info": own, "group_size": count, "tick_us": 5000,
@@ -58,7 +57,7 @@
     """All nodes of a run. Leaving the block ends every process that it started."""
 
     def __init__(self, plan: Plan, folder: Path) -> None:
-        self.plan, self.folder, self.command = plan, folder, run_command()
+        self.plan, self.folder, self.command = plan, folder, deployed("run")
         self.running: dict[str, subprocess.Popen[bytes]] = {}
         self.nice = 0
         self.configs: dict[str, dict[str, Any]] = {}
--- a/reelusher/lab/fleet/relay.py
+++ b/reelusher/lab/fleet/relay.py
@@ -45,6 +45,7 @@
         self.source, self.target, self.place = source, target, place
         self.out, self.back = Way(), Way()
         self.pairs: set[Pair] = set()
+        self.by_caller: dict[Address, Pair] = {}  # by where the near end comes from, also once over
 
     def touched_since(self, since_s: float) -> bool:
         """Tell whether a fault has stood on it since a time."""
@@ -122,7 +123,7 @@
                 self.pair.spoilt = True
             else:
                 self.pair.net.spawn(self.pair.open())
-            self.pair.net.pairs[transport.get_extra_info("peername")] = self.pair
+            link.by_caller[transport.get_extra_info("peername")] = self.pair
         for data in self.held:
             self.other.write(transport, data)
         self.held.clear()
@@ -215,7 +216,6 @@
         self.random = random.Random(seed)
         self.links: dict[tuple[str, str], Link] = {}
         self.party_of: dict[str, str] = {}  # by loopback address
-        self.pairs: dict[Address, Pair] = {}  # by the address that the near end comes from
         self._standing: list[Fault] = []
         self._doors: dict[tuple[str, str], Address] = {}
         self._open: list[asyncio.Server | asyncio.DatagramTransport] = []
@@ -265,13 +265,13 @@
 
     @staticmethod
     def _stand(link: Link, fault: Fault) -> bool:
-        there = link.source in fault.of and link.target in fault.to
-        here = link.source in fault.to and link.target in fault.of
-        if there or (here and not fault.one_way):
+        out = fault.stands_between(link.source, link.target)
+        back = fault.stands_between(link.target, link.source)
+        if out:
             link.out.faults.append(fault)
-        if here or (there and not fault.one_way):
+        if back:
             link.back.faults.append(fault)
-        return there or here
+        return out or back
 
     def begin(self, fault: Fault) -> None:
         """Let a fault stand, on the links there are and those to come."""
--- a/reelusher/lab/fleet/rig.py
+++ b/reelusher/lab/fleet/rig.py
@@ -17,13 +17,12 @@
 from reelusher.lab.fleet.plan import Fault, Plan, check_room
 from reelusher.lab.fleet.processes import Processes
 from reelusher.lab.fleet.relay import Net
-from reelusher.lab.fleet.stage import LOOK_S, Stage
+from reelusher.lab.fleet.stage import LAST_S, LOOK_S, Stage
 from reelusher.lab.fleet.wires import BelowWire, Lines, ListWire, RuntimeHost, RuntimeWire
 
 BEAT_S = 0.01
 STARVE_S = 0.02  # a starved node is stopped and continued within each such span
 AHEAD = -10  # of the rig's own priority before that of its nodes, where that is allowed
-LAST_S = 2.0  # beyond the longest deadline
 SERVICES = "127.200.0.2"  # where the stand-ins listen, behind the relays
 FAULTS = ("Traceback", " ERROR ")  # words in a node's log that spoil a run
 
@@ -55,10 +54,8 @@
         plan, account = self.plan, self.account
         await self._wire()
         try:
-            self.look()
+            self.begin_nodes()
             self._beat(self.loop.time())
-            for number, name in enumerate(self.places):
-                self.loop.call_later(number * plan.run.spread_s / len(self.places), self.start_node, name)
             until = self.loop.time() + plan.run.wait_s
             while self.loop.time() < until and not self.all_seen():
                 await asyncio.sleep(0.02)
@@ -120,7 +117,6 @@
 
     def end_node(self, name: str) -> None:
         """End a process at once."""
-        self.dead.add(name)
         self.processes.kill(name)
 
     def gone(self, name: str) -> None:
--- a/reelusher/lab/fleet/services.py
+++ b/reelusher/lab/fleet/services.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from math import exp
+from math import exp, inf
 from typing import Any, Protocol
 
 from reelusher.lab.fleet.account import Account
@@ -62,7 +62,7 @@
         if self.away:
             return
         now = self.line.time()
-        if name not in self._listed(now):
+        if now - self._last.get(name, -inf) >= self.plan.lapse_s:
             self.account.note_listed(now, name)
         self._last[name] = now
         answer()
@@ -96,6 +96,26 @@
         return self._seen[0][1]
 
 
+def warmed(now: float, since_s: float, cold_from: float, cold_s: float) -> float:
+    """Return the speed of what has been up since a time, as a part of what it does warm."""
+    return cold_from + (1 - cold_from) * min(1.0, (now - since_s) / cold_s)
+
+
+class Mean:
+    """The mean of what holds for a while each, over an exponential window in seconds."""
+
+    def __init__(self, over_s: float, now: float) -> None:
+        self.over_s, self.value = over_s, 0.0
+        self._at_s, self._held = now, 0.0
+
+    def note(self, now: float, held: float) -> float:
+        """Note what holds from now on; return the mean up to now."""
+        weight = exp(-(now - self._at_s) / self.over_s)
+        self.value = self._held * (1 - weight) + self.value * weight
+        self._at_s, self._held = now, held
+        return self.value
+
+
 class Below:
     """A service that slows down when crowded, turns calls away, and falls over when it holds too many.
 
@@ -107,18 +127,17 @@
         self.line, self.plan, self.name, self.account = line, plan, name, account
         self.held: dict[int, tuple[Handle, Tell]] = {}
         self.slow, self.down, self.falls = 1.0, False, 0
-        self.mean, self._at_s, self._number = 0.0, line.time(), 0
+        self._mean, self._number = Mean(plan.over_s, line.time()), 0
         self._up_s = line.time() - (0.0 if plan.starts_cold else plan.cold_s)
 
     def speed(self) -> float:
         """Return its speed as a part of what it does warm and well."""
-        warm = min(1.0, (self.line.time() - self._up_s) / self.plan.cold_s)
-        return (self.plan.cold_from + (1 - self.plan.cold_from) * warm) * self.slow
+        return warmed(self.line.time(), self._up_s, self.plan.cold_from, self.plan.cold_s) * self.slow
 
-    def call(self, reply: Tell, kind: str = "") -> int:
+    def call(self, reply: Tell) -> int:
         """Take a call; `reply` hears `yes`, `notnow` or `failed`. Returns its number, 0 where it is over."""
         self._note()
-        self.account.note_call(self.line.time(), self.name)
+        self.account.note_call(self.line.time())
         if self.down:
             reply("failed")
             return 0
@@ -147,15 +166,11 @@
 
     def _note(self) -> None:
         now, held = self.line.time(), len(self.held)
-        weight = exp(-(now - self._at_s) / self.plan.over_s)
-        self.mean, self._at_s = self._count * (1 - weight) + self.mean * weight, now
-        self._count = held
+        mean = self._mean.note(now, held)
         self.account.note_held(now, self.name, held)
-        if self.mean > self.plan.capacity and not self.down:
+        if mean > self.plan.capacity and not self.down:
             self.fall()
 
-    _count = 0  # held since `_at_s`
-
     def fall(self) -> None:
         """Fall over: all that it holds fails, and it comes back cold."""
         self.down, self.falls = True, self.falls + 1
@@ -164,7 +179,7 @@
         for handle, reply in held.values():
             handle.cancel()
             reply("failed")
-        self.mean, self._count = 0.0, 0
+        self._mean = Mean(self.plan.over_s, self.line.time())
         self.line.call_later(self.plan.down_s, self._rise)
 
     def _rise(self) -> None:
@@ -199,41 +214,37 @@
         self.slow, self.began_s = 1.0, line.time() - (0.0 if plan.starts_cold else plan.cold_s)
         self.ended: Tell = lambda job: None  # the transport's
         self.wants: Tell = lambda job, ms: None
-        self._mean, self._at_s = 0.0, line.time()
+        self._mean = Mean(GAUGE_S, line.time())
 
-    def restart(self, cold: bool) -> None:
-        """Start anew with nothing; a node that dies takes its runs along."""
+    def restart(self) -> None:
+        """Start anew, cold and with nothing; a node that dies takes its runs along."""
         for job in self.jobs.values():
             if job.handle:
                 job.handle.cancel()
         self.jobs.clear()
-        self.busy, self.began_s = 0, self.line.time() - (0.0 if cold else self.plan.cold_s)
+        self.busy, self.began_s = 0, self.line.time()
+        self._note()
 
     def speed(self) -> float:
         """Return the speed of its cores as a part of what they do warm and well."""
-        warm = min(1.0, (self.line.time() - self.began_s) / self.plan.cold_s)
-        return (self.plan.cold_from + (1 - self.plan.cold_from) * warm) * self.slow
+        return warmed(self.line.time(), self.began_s, self.plan.cold_from, self.plan.cold_s) * self.slow
 
     def gauges(self) -> list[float]:
         """Return busy cores as a part, what wants a core, memory in use, and open connections."""
-        self._note()
-        return [self._mean, float(self.busy), min(1.0, len(self.jobs) / 100), 0.0]
+        return [self._note(), float(self.busy), min(1.0, len(self.jobs) / 100), 0.0]
 
-    def _note(self) -> None:
-        now = self.line.time()
-        weight = exp(-(now - self._at_s) / GAUGE_S)
-        self._mean = min(1.0, self.busy / self.plan.cores) * (1 - weight) + self._mean * weight
-        self._at_s = now
+    def _note(self) -> float:
+        return self._mean.note(self.line.time(), min(1.0, self.busy / self.plan.cores))
 
     def _work(self, ms: float, done: Tell, *args: Any) -> Handle:
-        self._note()
         self.busy += 1
+        self._note()
         took_s = ms / 1000 * max(1.0, self.busy / self.plan.cores) / self.speed()
         return self.line.call_later(took_s, self._worked, done, *args)
 
     def _worked(self, done: Tell, *args: Any) -> None:
-        self._note()
         self.busy = max(0, self.busy - 1)
+        self._note()
         done(*args)
 
     def read(self) -> None:
--- a/reelusher/lab/fleet/stage.py
+++ b/reelusher/lab/fleet/stage.py
@@ -9,6 +9,7 @@
 from reelusher.lab.fleet.services import Below, ListService, Runtime, Timeline
 
 LOOK_S = 0.1  # between looks at the list
+LAST_S = 2.0  # beyond the longest deadline, for the last answers
 
 
 class Stage:
@@ -36,6 +37,12 @@
         self.list.look()
         self.line.call_later(LOOK_S, self.look)
 
+    def begin_nodes(self) -> None:
+        """Start all nodes within the time that the plan gives, and look at the list from now on."""
+        self.look()
+        for number, name in enumerate(self.runtimes):
+            self.line.call_later(number * self.plan.run.spread_s / len(self.runtimes), self.start_node, name)
+
     def all_seen(self) -> bool:
         """Tell whether callers see every node on the list."""
         return len(self.list.as_seen()) == len(self.runtimes)
@@ -121,11 +128,11 @@
         """Note that a node has ended, and its runs with it."""
         self.dead.add(name)
         self.account.note_end_of_life(name, self.line.time())
-        self.runtimes[name].restart(cold=True)
+        self.runtimes[name].restart()
 
     def come_back(self, name: str) -> None:
         """Start a node that has ended; its machine is cold."""
-        self.runtimes[name].restart(cold=True)
+        self.runtimes[name].restart()
         self.dead.discard(name)
         self.again.add(name)
         self.start_node(name)
--- a/reelusher/lab/fleet/wires.py
+++ b/reelusher/lab/fleet/wires.py
@@ -182,10 +182,9 @@
 class NodeLine(Wire):
     """A caller's connection to a node."""
 
-    def __init__(self, caller: Caller, node: str, net: Net, link: Link, done: Callable[["NodeLine"], None],
+    def __init__(self, caller: Caller, node: str, link: Link, done: Callable[["NodeLine"], None],
                  alive: Callable[[str], bool]) -> None:
-        self.caller, self.node, self.net, self.link, self.done = caller, node, net, link, done
-        self.alive = alive
+        self.caller, self.node, self.link, self.done, self.alive = caller, node, link, done, alive
         self.decoder, self.numbers = msgpack.Decoder(), itertools.count(1)
         self.open: dict[int, Try] = {}
         self.past: dict[int, Try] = {}
@@ -237,7 +236,7 @@
         self.done(self)
         now = self.caller.line.time()
         open_, self.open = self.open, {}
-        account, pair = self.caller.account, self.net.pairs.pop(self.address, None)
+        account, pair = self.caller.account, self.link.by_caller.pop(self.address, None)
         for number, one in open_.items():
             age_s = now - account.zero_s - one.sent_s
             touched = not self.alive(self.node) or self.link.touched_since(now - age_s)
@@ -270,7 +269,7 @@
         link = self.net.links[caller.party, node]
         try:
             _, line = await loop.create_connection(
-                lambda: NodeLine(caller, node, self.net, link, self._done, self.alive), *place)
+                lambda: NodeLine(caller, node, link, self._done, self.alive), *place)
         except OSError:
             caller.broken(one, True, ran=False)
             return
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -311,6 +312,29 @@
     over_a_link(work)
 
 
+def test_connections_from_one_port_to_two_parties_are_told_apart() -> None:
+    """A kernel gives a port again where the other end differs: what reached one says nothing of another."""
+
+    async def work(net: Net, place: Address) -> None:
+        other = await net.through("x", "z", net.links["x", "y"].place)
+        socks = [socket.socket() for _ in range(2)]
+        try:
+            for sock, door in zip(socks, (place, other), strict=True):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                sock.bind(("127.0.0.1", socks[0].getsockname()[1]))
+                sock.connect(door)
+            socks[0].sendall(b"only here")
+            links, came_from = [net.links["x", party] for party in ("y", "z")], socks[0].getsockname()
+            while links[0].out.crossed < 9 or any(came_from not in link.by_caller for link in links):
+                await asyncio.sleep(0.01)
+            assert [link.by_caller[came_from].reached for link in links] == [9, 0]
+        finally:
+            for sock in socks:
+                sock.close()
+
+    over_a_link(work)
+
+
 class Datagrams(asyncio.DatagramProtocol):
     def __init__(self) -> None:
         self.came: list[int] = []
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -32,6 +32,7 @@
 from reelusher.importer.__main__ import main as run_importer
 from reelusher.importer.model import Imported
 from reelusher.interface import Outcome
+from reelusher.lab.fleet import processes
 from reelusher.net import Address, Listener, Outbox
 from reelusher.wire import msgpack
 
@@ -256,10 +257,10 @@
 def deployed(command: str) -> list[str]:
     """Return a command of the deploy file as the platform starts it, with the interpreter of the tests."""
     text = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())[command]
-    before, python, after = text.partition(".venv/bin/python")
+    before, python, _ = text.partition(".venv/bin/python")
     # by exec, so that signals reach the program and not a shell
     assert python and before in ("exec ", "trap '' HUP; MALLOC_ARENA_MAX=1 exec ")
-    return ["/bin/sh", "-c", before + sys.executable + after]
+    return processes.deployed(command)
 
 
 def test_run_starts_answers_health_and_leaves_with_status_0(tmp_path: Path) -> None:
