End the rig's processes on SIGTERM too, and test it whatever SIGINT the suite inherits

Seen: three of three suites started in the background of a shell failed at test_every_process_ends_by_its_id_when_the_rig_is_interrupted. Cause: a shell without job control starts background commands with SIGINT ignored, the interpreter of the rig inherits that and installs no handler, so the test's SIGINT was never taken and its wait of 30 s ran out. In the foreground it passes, so the verdict depended on who started the suite. The test now starts the rig with the disposition of a terminal.

Found by reading beside it: SIGTERM ended the rig at once and left its nodes running; it now unwinds as Ctrl-C does, and the same test sends it. Measured: both pass with SIGINT ignored for the suite (2 of 2; before 0 of 3).

--- a/reelusher/lab/fleet/rig.py
+++ b/reelusher/lab/fleet/rig.py
@@ -177,7 +177,10 @@
     async def work(where: Path) -> Account:
         rig = Rig(plan, where)
         rig.processes.nice = own
-        with rig.processes:
+        task = asyncio.current_task()
+        assert task is not None
+        with rig.processes:  # SIGTERM must end its processes as Ctrl-C does, else hundreds go on without it
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
             last_s = plan.run.wait_s + plan.run.seconds + plan.longest_s() + 60
             return await asyncio.wait_for(rig.play(), last_s)
 
@@ -188,4 +191,7 @@
             stack.callback(os.setpriority, os.PRIO_PROCESS, 0, own)
         where = folder or Path(stack.enter_context(tempfile.TemporaryDirectory()))
         where.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(work(where))
+        try:
+            return asyncio.run(work(where))
+        except asyncio.CancelledError:
+            raise SystemExit(128 + signal.SIGTERM) from None
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -456,11 +456,15 @@
     assert figures["all_listed_s"] is not None and figures["served_worth"] > 0.9, figures
 
 
-def test_every_process_ends_by_its_id_when_the_rig_is_interrupted(tmp_path: Path) -> None:
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_every_process_ends_by_its_id_when_the_rig_is_interrupted(number: signal.Signals, tmp_path: Path
+                                                                  ) -> None:
     path = tmp_path / "plan.toml"
     path.write_text('[run]\nseconds = 60\n[[zones]]\nname = "a"\nnodes = 2\n[[classes]]\nname = "s"\n')
     rig = subprocess.Popen([sys.executable, "-m", "reelusher.lab.fleet", str(path), "--logs", str(tmp_path)],
-                           cwd=ROOT, stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
+                           cwd=ROOT, stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
+                           # as at a terminal: a suite that a shell runs in the background ignores SIGINT
+                           preexec_fn=partial(signal.signal, signal.SIGINT, signal.SIG_DFL))
     logs = [tmp_path / "n1.log", tmp_path / "n2.log"]
     until = time.monotonic() + 60
     while time.monotonic() < until:
@@ -469,7 +473,7 @@
         time.sleep(0.05)
     children = Path(f"/proc/{rig.pid}/task/{rig.pid}/children").read_text().split()
     assert len(children) == 2
-    rig.send_signal(signal.SIGINT)
+    rig.send_signal(number)
     rig.wait(30)
     for child in children:
         with pytest.raises(ProcessLookupError):
