--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -1,6 +1,7 @@
 """Pacing: waits that keep nodes apart, and reports that keep an entry at the least cost."""
 
 import math
+import socket
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -169,7 +170,7 @@
     monkeypatch.setattr(Catalog, "_exchange", exchange)
     monkeypatch.setattr(Catalog, "_drop", lambda self: None)
     catalog = Catalog(("127.0.0.1", 1), "n1", lambda: True, Counters(), Random(1))
-    vars(catalog).update(_sock=object(), _connected=("127.0.0.1", 1))
+    vars(catalog).update(_sock=socket.socket(), _connected=("127.0.0.1", 1))
     return catalog, made
 
 
