Answer operators at a second address: readiness, figures, sending callers away

Change: fronts/operator.py, a thread a call, bounded, asks nobody; core/figures.py counts requests, answers and runs by class where they happen; Told.good joins the module's health with the operators' word.

--- a/reelusher/config/platform.py
+++ b/reelusher/config/platform.py
@@ -29,6 +29,7 @@
     runtime: Address
     directory: Address | None
     vault: Address | None
+    operator: Address | None  # the second address, for operators alone
     seed: int
     stop_ms: int
     limits: Limits
@@ -63,13 +64,15 @@
     table = Table(value)
     limits = table.table("limits")
     settings, gauges, names = _settings(table.raw("settings"))
-    listen = environ.get("PROXY_LISTEN")
+    listen, operator = environ.get("PROXY_LISTEN"), environ.get("PROXY_OPERATOR")
     return Platform(
         name=environ.get("PROXY_NAME") or table.text("name"),
         listen=address_of(listen, "PROXY_LISTEN") if listen else table.address("listen"),
         runtime=table.address("runtime"),
         directory=table.address("directory") if "directory" in table else None,
         vault=table.address("vault") if "vault" in table else None,
+        operator=address_of(operator, "PROXY_OPERATOR") if operator else
+        table.address("operator") if "operator" in table else None,
         seed=seed_of(table.text("seed", "0"), "seed"),
         stop_ms=table.whole("stop_ms", 3000, least=100),
         limits=Limits(limits.number("cores", 1.0, least=0.01), limits.number("memory_mb", 192.0, least=16),
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -17,6 +17,7 @@
 from reelusher.core.attempts import Attempt, Attempts, Stage
 from reelusher.core.clock import Clock
 from reelusher.core.counters import Counters
+from reelusher.core.figures import Figures
 from reelusher.core.keys import Key, KeyTable
 from reelusher.core.model import (
     Answer, Arrived, Ask, CallOver, CallWanted, Dependency, DrainOrder, GaugesRead, KeyKeeper, KeyKept, Left,
@@ -37,11 +38,17 @@
 class Told:
     """What callers are to hear at present; written by the owner, read by fronts."""
 
-    healthy: bool = True
+    healthy: bool = True  # as the module sees it
+    away: bool = False  # operators send callers away; written by whoever they told
     feedback: float | None = None
     idle_us: int = 0
     draining: bool = False
 
+    @property
+    def good(self) -> bool:
+        """What health checks hear."""
+        return self.healthy and not self.away
+
 
 def digest_of(request: Request) -> bytes:
     """Return what tells the body of one keyed request from another's; the class is part of the key."""
@@ -61,6 +68,7 @@
         self.counters = counters or Counters()
         self.clock = clock or Clock()
         self.told = Told(idle_us=settings.idle_us)
+        self.figures = Figures(self.class_names)
         self.attempts = Attempts()
         self.keys = KeyTable(max(kind.deadline_us for kind in settings.classes), most_result_bytes)
         self.runners: dict[str, Runner] = {}  # of tenants that have one of their own
@@ -200,15 +208,16 @@
     def _arrived(self, message: Arrived) -> None:
         request = message.request
         self.counters.add("requests.read")
+        self.figures.taken()
         if self.attempts.named(request.call):  # two runs under one name could not be told apart
             self.counters.warn("requests.name_taken", "request refused: its id {} is in hand already",
                                request.call)
-            request.reply(self._answer_of(Verdict.FAILED))
+            self._turn_down(request, Verdict.FAILED)
             return
         if self.admits is not None and request.tenant_no and not self.admits(request.tenant_no):
             # suspended or removed since the front looked; it was not handed to the module and never ran
             self.counters.add("requests.tenant_gone")
-            request.reply(self._answer_of(Verdict.REFUSED))
+            self._turn_down(request, Verdict.REFUSED)
             return
         kind = self.settings.classes[request.kind]
         original = 0
@@ -221,7 +230,7 @@
             if self.keys.other_body(key, request.door_us, digest_of(request)):
                 self.counters.warn("requests.key_taken",
                                    "request refused: its key came with another body: {}", request.call)
-                request.reply(self._answer_of(Verdict.FAILED))
+                self._turn_down(request, Verdict.FAILED)
                 return
             original = self.keys.original(key, request.door_us)
         due = max(self.now, request.door_us + kind.deadline_us)
@@ -231,6 +240,11 @@
             attempt.id, request.kind, request.caller, request.subject, request.tenant_no, request.held_kb,
             request.hint_us, 0, max(0, self.now - request.door_us), original))
 
+    def _turn_down(self, request: Request, verdict: Verdict) -> None:
+        """Answer a request that the module is not to hear of."""
+        self.figures.ended(self.class_names[request.kind], verdict)
+        request.reply(self._answer_of(verdict))
+
     @staticmethod
     def _key(request: Request) -> Key:
         return request.tenant, request.kind, request.key
@@ -245,6 +259,7 @@
     def _gone(self, attempt: Attempt) -> None:
         """Note that no answer is owed any more, and tell the module."""
         self.attempts.answer(attempt)
+        self.figures.ended(self.class_names[attempt.request.kind], Verdict.FAILED)
         self._events.append(io.Gone(attempt.id))
         self._settle(attempt)
 
@@ -351,6 +366,7 @@
 
     def _start(self, attempt: Attempt) -> None:
         self.counters.add("runs.started")
+        self.figures.forwarded(self.class_names[attempt.request.kind])
         attempt.runner.start(attempt.request, self.class_names[attempt.request.kind])
 
     def _key_kept(self, message: KeyKept) -> None:
@@ -500,6 +516,7 @@
             return
         self.attempts.answer(attempt)
         self.counters.add("answers." + verdict.value)
+        self.figures.ended(self.class_names[attempt.request.kind], verdict)
         attempt.request.reply(self._answer_of(verdict, result, away_us, no_retry))
 
     def _settle(self, attempt: Attempt) -> None:
--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -373,10 +373,13 @@
             connection.used = time.monotonic()
         if method == "health":
             self._core.counters.add("health.asked")
-            connection.say(number, None, [told.healthy, self._fields(told.feedback)])
+            connection.say(number, None, [told.good, self._fields(told.feedback)])
             return
         if self._refuses:
             self._core.counters.add("drain.refused_at_the_door")
+            if method in self._kinds:
+                self._core.figures.taken()
+                self._core.figures.ended(method, Verdict.REFUSED)
             fields = self._fields(told.feedback)
             if self._core.settings.retry_after_us:
                 fields["later"] = str(min(LATER_MS, self._core.settings.retry_after_us // 1000))
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -26,6 +26,7 @@
 from reelusher.core.pace import Pace
 from reelusher.drain.leave import Drained, lead
 from reelusher.drain.signals import LOOK_S, SignalWatch
+from reelusher.fronts.operator import OperatorFront
 from reelusher.fronts.platform import PlatformFront
 from reelusher.net import spawn
 
@@ -60,6 +61,7 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self.asked_to_leave = threading.Event()
+        self._started = False
         self._asked_s = 0.0  # when the drain was asked for at the earliest, by the monotonic clock
         self._reload = threading.Lock()  # held while files are read
         self._pace = Pace()  # of the fronts' poller
@@ -81,7 +83,7 @@
         self.core = Core(config.settings, config.gauges, config.seed, self.runtime or nobody, self.vault,
                          config.class_names, self._clock, self.counters,
                          int(config.memory_mb * RESULTS_PART * (1 << 20)), self._shares)
-        self.catalog = Catalog(told.directory, told.name, lambda: self.core.told.healthy, self.counters,
+        self.catalog = Catalog(told.directory, told.name, lambda: self.core.told.good, self.counters,
                                self._spread("catalog")) if told and told.directory else None
         if self.catalog:
             self.core.on_health = self.catalog.changed
@@ -90,6 +92,8 @@
                 self.core, told.listen, PLATFORM_TENANT, self._most_connections() - self._most_ajp(),
                 int(config.memory_mb * BACKLOGS_PART * (1 << 20)),
                 lambda late_s: self._pace.note(late_s, time.monotonic()))
+        self.operator = OperatorFront(told.operator, self.counters, self._ready, self.core.figures.told,
+                                      self._send_away) if told and told.operator else None
         self.admin: AdminApi | None = None
         self._key_log: KeyLog | None = None
         if own:
@@ -164,12 +168,28 @@
         for name, front in self.fronts.items():
             front.start()
             logger.info("{}: the {} front listens on {}:{}", self.config.name, name, *front.address)
+        self._started = True
+        if self.operator:
+            self.operator.start()
+            logger.info("{}: operators are answered at {}:{}", self.config.name, *self.operator.address)
         if self.admin:
             self.admin.start()
             logger.info("{}: the administration API listens on {}:{}", self.config.name, *self.admin.address)
         if self.catalog:
             self.catalog.start()
 
+    def _ready(self) -> bool:
+        """Tell whether this process is ready to serve; from any thread."""
+        return (self._started and self.core.told.good and not self.asked_to_leave.is_set()
+                and (self.runtime is None or self.runtime.up))
+
+    def _send_away(self, away: bool) -> None:
+        """Have health checks answered as bad, or by the node's own health again; from any thread."""
+        if self.core.told.away is not away:
+            self.core.told.away = away
+            logger.info("operator: callers are sent away" if away else "operator: callers are wanted again")
+            self.core.on_health()
+
     def status(self) -> dict[str, Any]:
         """Return how the node stands; called by the owner."""
         return {"name": self.config.name, "healthy": self.core.told.healthy,
@@ -198,7 +218,9 @@
         at once the second waits for the first and then reads what is there by then.
         """
         with self._reload:
-            return self._take_up(read)
+            taken_up = self._take_up(read)
+        self.core.figures.reloaded(taken_up)
+        return taken_up
 
     def _take_up(self, read: Callable[[], Config]) -> bool:
         try:
@@ -255,6 +277,8 @@
         """Take everything down at once; `leave` comes first where answers are owed."""
         for front in self.fronts.values():
             front.close()
+        if self.operator:
+            self.operator.close()
         if self.admin:
             self.admin.close()
         if self.catalog:
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -363,3 +363,25 @@
         value = json.loads(message.body) if message.body else {}
         field = value.get("field", message.headers.get("etag", "-"))
         return f"{message.start[1]} {field} {json.dumps(value, separators=(',', ':'))}"
+
+
+class Desk(Party):
+    """An operator at the second address: `send GET /stats`; `send raw HEX`, which is all that comes then."""
+
+    def send(self, words: Words) -> None:
+        self.sock = None  # one call a connection
+        sock = self.dial("operator", http1.Decoder(), self.note)
+        sock.sendall(bytes.fromhex(words[1]) if words[0] == "raw" else http1.request(words[0], words[1]))
+
+    def expect(self, words: Words) -> None:
+        super().expect(words)
+        super().expect(["closed"])
+
+    @staticmethod
+    def note(message: Any) -> str:
+        """Tell the status, then what is not 0: `succeeded.day-view=3 outstanding=1`."""
+        told = json.loads(message.body)
+        flat = {f"{name}.{part}": count for name, counts in told.items() if isinstance(counts, dict)
+                for part, count in counts.items()} | {
+            name: value for name, value in told.items() if not isinstance(value, dict)}
+        return " ".join([message.start[1], *(f"{name}={value}" for name, value in flat.items() if value)])
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,7 +1,7 @@
 """The scenario language: one step a line, `PARTY send|expect|close ...` or `wait SECONDS`; # begins a remark.
 
 Parties: c1, c2 … callers; runtime, vault, catalog, and runtime2, vault2, catalog2 after `node send reload
-2`; a1, a2 … web servers; w1, w2 … AJP workers; admin; node
+2`; a1, a2 … web servers; w1, w2 … AJP workers; admin; desk, an operator at the second address; node
 (`node send term`, `node expect left`, `node expect count NAME N`). `as X` at the end of an expectation names
 the second word of what came; `$X` stands for it.
 """
@@ -87,7 +87,8 @@
     """Return the platform's configuration for a node among the stand-ins."""
     places = {name: "{}:{}".format(*world[name + which].address) for name in SERVERS}
     return {"name": "n3", "listen": "127.0.0.1:0", "runtime": places["runtime"], "seed": "8c1f",
-            "directory": places["catalog"], "vault": places["vault"], "stop_ms": 4000,
+            "directory": places["catalog"], "vault": places["vault"], "operator": "127.0.0.1:0",
+            "stop_ms": 4000,
             "settings": SETTINGS, **changes}
 
 
@@ -116,7 +117,7 @@
         world |= {"runtime" + which: parties.Runtime(world), "vault" + which: parties.VaultParty(world),
                   "catalog" + which: parties.CatalogParty(world)}
     world |= {"w1": parties.Container(world),
-              "w2": parties.Container(world), "admin": parties.Operator(world)}
+              "w2": parties.Container(world), "admin": parties.Operator(world), "desk": parties.Desk(world)}
     changes = dict(word.split("=", 1) for step in steps if step[0] == "with" for word in step[1:])
     if changes.pop("busy", ""):
         world["stats"] = [1.0, 40, 0.5, 3]
@@ -127,7 +128,8 @@
     own["ajp"] |= {key: int(value) if value.isdigit() else value for key, value in changes.items()}
     node = Node(merge(told, parse_operator(own, tuple(told.class_names), has_runtime=True)))
     world["places"] = {name: front.address for name, front in node.fronts.items()}
-    assert node.admin is not None
+    assert node.admin is not None and node.operator is not None
+    world["places"]["operator"] = node.operator.address
     world["places"]["admin"], world["node"] = node.admin.address, NodeParty(node, world)
     node.start()
     world["runtime"].expect(["sync", "0"])
@@ -136,7 +138,7 @@
             if step[0] == "wait":
                 time.sleep(float(step[1]))
             elif step[0] != "with":
-                kind = {"c": parties.Caller, "a": parties.Web}.get(step[0][0])
+                kind = {"c": parties.Caller, "a": parties.Web, "d": parties.Desk}.get(step[0][0])
                 party = world.get(step[0]) or world.setdefault(step[0], kind(world) if kind else None)
                 try:
                     getattr(party, step[1])(step[2:])
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -370,6 +370,56 @@
         runtime send end $X failed
         vault expect unask $X
         c1 expect 1 Error""",
+    # The second address
+    "a node that operators send callers away from says so and serves whatever still comes": """
+        desk send POST /healthcheck/fail
+        desk expect 200 away=True
+        c1 send 1 health
+        c1 expect 1 ok False
+        desk send GET /healthcheck
+        desk expect 503
+        c2 send 1 slot-search body=b    # whatever still comes is answered as usual
+        runtime expect start * slot-search b as X
+        runtime send end $X ok r
+        c2 expect 1 ok r
+        catalog expect PUT * *
+        desk send POST /healthcheck/ok
+        desk expect 200
+        c1 send 2 health
+        c1 expect 2 ok True
+        desk send GET /healthcheck
+        desk expect 200 ready=True""",
+    "the figures say what became of each request, by class": """
+        c1 send 1 slot-search body=a
+        runtime expect start * slot-search a as X
+        c1 send 2 day-view body=b
+        runtime expect start * day-view b as Y
+        runtime send end $X ok r
+        c1 expect 1 ok r
+        runtime send end $Y failed
+        c1 expect 2 Error
+        c1 send 3 slot-search body=c
+        runtime expect start * slot-search c as Z
+        desk send GET /stats
+        desk expect 200 succeeded.slot-search=1 aborted.day-view=1 forwards.slot-search=2 forwards.day-view=1
+        desk send GET /stats
+        desk expect 200 * * * * outstanding=1
+        runtime send end $Z ok r
+        c1 expect 3 ok r
+        node send reload 2
+        desk send GET /stats
+        desk expect 200 * * * * sighup_applied=1""",
+    "operators who connect and say nothing hold up no other, and wrong calls are told so": """
+""" + "".join(f"""
+        d{number} send raw 47""" for number in range(1, 40)) + """
+        desk send GET /healthcheck
+        desk expect 200
+        desk send DELETE /stats
+        desk expect 405
+        desk send GET /nothing
+        desk expect 404
+        desk send raw 0d0a0d0a
+        desk expect 400""",
     # The catalog
     "reports go on through an outage of the catalog": """
         catalog expect PUT /catalog/register/n3 passing
