Take up new settings at SIGHUP: classes come, change and go while requests are open

Cause, by the page and the code: new classes counted from the next start, so requests of one were answered Bad, and eight such close a connection (MOST_BAD) with what is open.

Change: Core.retune gives a new or changed class a further number and the module goes by the new settings (Controller.retune, which its start now uses too); keys are kept by the first number of a class name; the front takes dropped classes for another 5 s. A file without a key that the one in service has, or with a deadline that is no number above 0, is turned down whole.

Measured: scenarios for added, dropped and changed classes, a key across a changed class, and five faulty files.

--- a/reelusher/choice.py
+++ b/reelusher/choice.py
@@ -8,7 +8,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import IntEnum
 from typing import Any
 
@@ -105,7 +105,6 @@
         self.room = ROOM_MOST * settings.cores  # requests that callers are told this worker has room for
         self.idle_us = settings.idle_us  # connections idle for this long are closed
         self.waited_us = 0  # longest wait before reading in this period
-        self.aim_us = min(kind.aim_us or kind.deadline_us for kind in settings.classes)
         self.heard: dict[int, int] = {}  # callers and when they were last heard, as long as they remember us
         self.last_heard: dict[int, int] = {}  # the same for all callers ever heard
         self.reused = 1.0  # part of arrivals whose caller could still have its connection
@@ -115,19 +114,30 @@
         self.late = False  # do waits take more than their part of the aim
         self.refusal = 0.0  # likelihood that an arrival is refused
         self.cap = float(settings.cores)
-        self.share = min(settings.call_share, float(NEVER))  # mean of calls in hand that may be ours
-        self.call_time_us = self.share * max(settings.call_over_us, 1)  # the same, summed over its span
         self.call_us = 0.0  # mean time of a call
         self.debt = 0.0  # calls in hand beyond the level, summed over time
-        self.ran_us = [0.0] * len(settings.classes)  # mean time of a run, by class
-        self.hints = [0.0] * len(settings.classes)  # mean hint of the same runs
+        self.ran_us: list[float] = []  # mean time of a run, by class
+        self.hints: list[float] = []  # mean hint of the same runs
         self.stop_us = self.grace_us = NEVER  # draining: the stop, and the last arrival that may run
-        self.lowest = min((kind.worth for kind in settings.classes if kind.worth > 0), default=1.0)
-        self.margin_us = PERIOD_US + 2 * settings.tick_us + MARGIN_US
+        self.retune(settings, range(len(settings.classes)))
         self.react: dict[type, Callable[[Any], None]] = {
             Request: self._arrive, Gone: self._gone, CallNeeded: self._stand_at_call,
             CallEnded: self._call_ended, RunEnded: self._run_ended, Drain: self._drain, Tick: self._period}
 
+    def retune(self, settings: Settings, current: Collection[int]) -> None:
+        """Go by these settings from now on. Classes keep their numbers; those not `current` come no more."""
+        self.settings = settings
+        kinds = [settings.classes[number] for number in current]
+        self.aim_us = min(kind.aim_us or kind.deadline_us for kind in kinds)  # the shortest
+        self.lowest = min((kind.worth for kind in kinds if kind.worth > 0), default=1.0)
+        self.margin_us = PERIOD_US + 2 * settings.tick_us + MARGIN_US
+        self.share = min(settings.call_share, float(NEVER))  # mean of calls in hand that may be ours
+        self.call_time_us = self.share * max(settings.call_over_us, 1)  # the same, summed over its span
+        fresh = [0.0] * (len(settings.classes) - len(self.ran_us))
+        self.ran_us, self.hints = self.ran_us + fresh, self.hints + fresh
+        self.room = min(self.room, ROOM_MOST * settings.cores)
+        self.idle_us = settings.idle_us
+
     def handle(self, now_us: int, events: list[Event]) -> list[Action]:
         """Take what happened at this time and return what to do, in order."""
         self.now, self.out = now_us, []
--- a/reelusher/config/platform.py
+++ b/reelusher/config/platform.py
@@ -36,6 +36,11 @@
     settings: io.Settings
     gauges: list[str]
     class_names: list[str]
+    paths: frozenset[str] = frozenset()  # of all keys that the file has
+
+    def lacks(self, other: "Platform") -> str | None:
+        """Return a key that the other file has and this one does not; one cut short may still be JSON."""
+        return min(other.paths - self.paths, default=None)
 
 
 def seed_of(text: str, key: str) -> int:
@@ -59,6 +64,17 @@
     return settings, gauges, names
 
 
+def paths_of(value: Any, path: str = "") -> frozenset[str]:
+    """Return the paths of all keys; of the entries of a list, those that all have."""
+    if isinstance(value, Mapping):
+        below = [paths_of(part, f"{path}.{key}" if path else str(key)) for key, part in value.items()]
+        return frozenset([path] if path else []).union(*below)
+    if isinstance(value, list) and value and all(isinstance(entry, Mapping) for entry in value):
+        shared = frozenset.intersection(*(paths_of(entry, f"{path}[]") for entry in value))
+        return shared | {path}
+    return frozenset([path])
+
+
 def parse(value: Any, environ: Mapping[str, str]) -> Platform:
     """Check what the file says. Keys that are not known are left alone: the platform may add some."""
     table = Table(value)
@@ -77,7 +93,7 @@
         stop_ms=table.whole("stop_ms", 3000, least=100),
         limits=Limits(limits.number("cores", 1.0, least=0.01), limits.number("memory_mb", 192.0, least=16),
                       limits.whole("sockets", 1024, least=32)),
-        settings=settings, gauges=gauges, class_names=names)
+        settings=settings, gauges=gauges, class_names=names, paths=paths_of(value))
 
 
 def read(path: str, environ: Mapping[str, str]) -> Platform:
--- a/reelusher/core/keys.py
+++ b/reelusher/core/keys.py
@@ -43,6 +43,10 @@
     def __iter__(self) -> Iterator[Entry]:
         return iter(self._by_holder.values())
 
+    def widen(self, tail_us: int) -> None:
+        """Have entries stay for at least so long after they ran out: a class has a longer deadline now."""
+        self._tail_us = max(self._tail_us, tail_us)
+
     def original(self, key: Key, door_us: int) -> int:
         """Return the holder that a try arriving then repeats, or 0."""
         entry = self._by_key.get(key)
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -4,7 +4,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from hashlib import blake2b
 from random import Random
@@ -31,6 +31,7 @@
 GUARD_US = 30_000  # part of the slack left to the guard that answers what the module has not
 STOP_GUARD_US = 150_000  # before the stop: all that is read is answered by then
 SWEEP_US = 1_000_000  # between sweeps of the table of keys
+MOST_CLASSES = 1000  # with all that were changed: a reload that brings more is turned down
 REARM_US = 100_000  # until the next tick where a fault has lost the module's timer
 
 
@@ -65,6 +66,7 @@
         self.settings = settings
         self.gauges = gauges
         self.class_names = class_names or [str(number) for number in range(len(settings.classes))]
+        self._first_of = {name: number for number, name in enumerate(self.class_names)}
         self.counters = counters or Counters()
         self.clock = clock or Clock()
         self.told = Told(idle_us=settings.idle_us)
@@ -189,6 +191,29 @@
         for action in self._controller.handle(self.now, events):
             self._actions[type(action)](action)
 
+    def retune(self, settings: io.Settings, gauges: list[str], class_names: list[str]) -> dict[str, int]:
+        """Go by other settings; return the number of each class, by name. Called by the owner.
+
+        What is open keeps its class as it was: one that is new, or not quite the same, gets a further number.
+        """
+        classes, names, numbers = list(self.settings.classes), list(self.class_names), {}
+        for name, kind in zip(class_names, settings.classes, strict=True):
+            same = [number for number, known in enumerate(classes) if (names[number], known) == (name, kind)]
+            if not same:
+                classes.append(kind)
+                names.append(name)
+            numbers[name] = same[0] if same else len(classes) - 1
+        if len(classes) > MOST_CLASSES:
+            raise ValueError(f"more than {MOST_CLASSES} classes since the start")
+        for number, name in enumerate(names):
+            self._first_of.setdefault(name, number)
+        self.settings, self.gauges, self.class_names = replace(settings, classes=classes), gauges, names
+        self.keys.widen(max(kind.deadline_us for kind in classes))
+        self.told.idle_us = settings.idle_us
+        self.figures.know(class_names)
+        self._controller.retune(self.settings, numbers.values())
+        return numbers
+
     def late_s(self) -> float:
         """Return by how many seconds the owner's timers are late at present; from any thread."""
         return self._pace.late_s(self.clock.now() / 1e6)
@@ -245,9 +270,9 @@
         self.figures.ended(self.class_names[request.kind], verdict)
         request.reply(self._answer_of(verdict))
 
-    @staticmethod
-    def _key(request: Request) -> Key:
-        return request.tenant, request.kind, request.key
+    def _key(self, request: Request) -> Key:
+        # a class that was changed has another number, and its keys are still those of before
+        return request.tenant, self._first_of[self.class_names[request.kind]], request.key
 
     def _left(self, message: Left) -> None:
         for call in message.calls:
--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -42,6 +42,7 @@
 MOST_HELD_KB = 2000.0
 READ_BYTES = 1 << 14  # of one connection before others have their turn
 MOST_ACCEPTED = 32  # connections taken before those that are open have their turn
+DROPPED_S = 5.0  # a class that was dropped is still taken for so long: callers hear of it late
 LATER_MS = 100  # how long a caller refused at the door is asked to stay away, as the module asks at least
 
 
@@ -150,6 +151,7 @@
         self._core = core
         self._tenant = tenant
         self._kinds = {name: number for number, name in enumerate(core.class_names)}
+        self._dropped: dict[str, tuple[int, float]] = {}  # gone, and until when they are taken
         self._connections: dict[socket.socket, Connection] = {}
         self._lock = threading.Lock()
         self._resting = False  # no descriptor was left for a new connection
@@ -165,6 +167,21 @@
         """Start to listen."""
         self._poller.start()
 
+    def retune(self, kinds: dict[str, int]) -> None:
+        """Take requests of these classes from now on; the core knows them already. From any thread."""
+        until = time.monotonic() + DROPPED_S
+        self._dropped = {name: (number, until) for name, number in self._kinds.items() if name not in kinds}
+        self._door_behind_us = DOOR_BEHIND_US + max(kind.deadline_us for kind in self._core.settings.classes)
+        self._kinds = kinds
+
+    def _kind_of(self, method: str) -> int:
+        kind = self._kinds.get(method)
+        if kind is None:
+            kind, until = self._dropped.get(method, (0, 0.0))
+            if time.monotonic() >= until:
+                raise BadRequest("no such class")
+        return kind
+
     def drain(self, plan: Stages) -> None:
         """End by this plan, which may come again with earlier times."""
         self._endings.follow(plan)
@@ -400,9 +417,7 @@
 
     def _request(self, connection: Connection, number: int, method: str, params: list[Any]) -> Request:
         """Check and translate a request."""
-        kind = self._kinds.get(method)
-        if kind is None:
-            raise BadRequest("no such class")
+        kind = self._kind_of(method)
         match params:
             case [dict(fields), bytes(body)]:
                 pass
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -226,15 +226,22 @@
         try:
             config = read()
         except ConfigError as error:  # half written, or wrong: never a reason to end
-            self.counters.add("reload.refused")
-            logger.error("reload: the configuration in service stands: {}", error)
-            return False
+            return self._turned_down(str(error))
         told, before = config.platform, self.config.platform
         if told is None or before is None or (told.vault is None) is not (self.vault is None) or (
                 told.directory is None) is not (self.catalog is None):
-            self.counters.add("reload.refused")
-            logger.error("reload: the configuration in service stands: only a start adds or removes parts")
-            return False
+            return self._turned_down("only a start adds or removes parts")
+        if lacked := told.lacks(before):
+            return self._turned_down(f"{lacked}: missing")
+        if (told.settings, told.class_names) != (before.settings, before.class_names):
+            front = self.fronts["platform"]
+            assert isinstance(front, PlatformFront)
+            try:
+                front.retune(self.core.ask(lambda: self.core.retune(
+                    told.settings, told.gauges, told.class_names)))
+            except ValueError as error:
+                return self._turned_down(str(error))
+            logger.info("reload: new settings, classes: {}", ", ".join(told.class_names))
         if self.runtime:
             self.runtime.move(told.runtime)
         if self.vault and told.vault:
@@ -243,15 +250,21 @@
             self.catalog.move(told.directory)
         moved = {name: getattr(told, name) for name in ("runtime", "vault", "directory")
                  if getattr(told, name) != getattr(before, name)}
-        if replace(told, runtime=before.runtime, vault=before.vault, directory=before.directory) != before:
-            logger.warning("reload: what is new beside addresses counts from the next start")
-        self.config = replace(self.config, platform=replace(
-            before, runtime=told.runtime, vault=told.vault, directory=told.directory))
+        taken_up = {name: getattr(told, name) for name in (
+            "runtime", "vault", "directory", "settings", "gauges", "class_names", "paths")}
+        if replace(before, **taken_up) != told:
+            logger.warning("reload: what is new beside addresses and settings counts from the next start")
+        self.config = replace(self.config, platform=replace(before, **taken_up), settings=told.settings)
         self.counters.add("reload.done")
         logger.info("reload: new addresses: {}", ", ".join(
             f"{name} {address[0]}:{address[1]}" for name, address in moved.items() if address) or "none")
         return True
 
+    def _turned_down(self, why: str) -> bool:
+        self.counters.add("reload.refused")
+        logger.error("reload: the configuration in service stands: {}", why)
+        return False
+
     def leave(self) -> bool:
         """Drain: serve on for the grace, answer all that is read, then return; False if time ran out."""
         self.ask_to_leave()
--- a/reelusher/settings.py
+++ b/reelusher/settings.py
@@ -1,6 +1,7 @@
 """The settings object of the platform as the module's `Settings`: read here for the adapter and the node."""
 
 import json
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -30,6 +31,13 @@
     return words[value]
 
 
+def positive(value: Any, path: str) -> int:
+    """Return a time that is a number above 0."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < math.inf:
+        raise Missing(f"settings: {path} is no number above 0: {value!r:.40}")
+    return int(value) or 1
+
+
 def settings_of(text: bytes) -> tuple[io.Settings, list[str]]:
     """Translate the settings of the wire; also return the field name of each gauge, in order."""
     try:
@@ -49,7 +57,7 @@
         path = f"categories[{number}]."
         effect = word(EFFECTS, need(entry, "effect", path), path + "effect")
         classes.append(io.RequestClass(
-            deadline_us=need(entry, "deadline_us", path), effect=effect,
+            deadline_us=positive(need(entry, "deadline_us", path), path + "deadline_us"), effect=effect,
             aim_us=entry.get("objective_us", 0), worth=entry.get("worth", 1.0),
             late_share=entry.get("late_share", 0.0),
             window_us=(need(entry, "repeat_window_us", path) if effect is io.Effect.KEYED
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -6,6 +6,7 @@
 the second word of what came; `$X` stands for it.
 """
 
+import copy
 import hashlib
 import itertools
 import threading
@@ -54,8 +55,10 @@
         if words[0] == "idle":  # as the module would say
             self.node.core.told.idle_us = int(words[1])
         elif words[0] == "reload":  # 2: at the second addresses; KEY=VALUE: with something else changed
-            new = platform_config(self.world, words[1] if words[1] == "2" else "",
-                                  **dict(word.split("=") for word in words[1:] if "=" in word))
+            changes = dict(word.split("=") for word in words[1:] if "=" in word)
+            settings, lacks = retuned(changes), changes.pop("lacks", "")
+            new = platform_config(self.world, "2" if words[1] == "2" else "", settings=settings, **changes)
+            new.pop(lacks, None)
             self.node.reload(lambda: merge(parse_platform(new, {}), self.node.config.operator))
         elif words[0] == "block":  # the owner or the front's poller, for so many seconds
             front, seconds = self.node.fronts["platform"], float(words[2])
@@ -83,13 +86,27 @@
             time.sleep(0.02)
 
 
+def retuned(changes: dict[str, str]) -> dict[str, Any]:
+    """Return other settings, by what it takes from the changes: `add=`, `drop=`, `deadline=CLASS:US`."""
+    made = copy.deepcopy(SETTINGS)
+    drop, added, (name, _, deadline) = (
+        changes.pop("drop", ""), changes.pop("add", ""), changes.pop("deadline", "").partition(":"))
+    made["categories"] = [kind for kind in made["categories"] if kind["name"] != drop]
+    if added:
+        made["categories"].append({**made["categories"][0], "name": added})
+    for kind in made["categories"]:
+        if kind["name"] == name:
+            kind["deadline_us"] = int(deadline) if deadline.lstrip("-").isdigit() else deadline
+    return made
+
+
 def platform_config(world: dict[str, Any], which: str = "", **changes: Any) -> dict[str, Any]:
     """Return the platform's configuration for a node among the stand-ins."""
     places = {name: "{}:{}".format(*world[name + which].address) for name in SERVERS}
     return {"name": "n3", "listen": "127.0.0.1:0", "runtime": places["runtime"], "seed": "8c1f",
             "directory": places["catalog"], "vault": places["vault"], "operator": "127.0.0.1:0",
             "stop_ms": 4000,
-            "settings": SETTINGS, **changes}
+            "limits": {"sockets": 1024}, "settings": SETTINGS, **changes}
 
 
 def operator_config(world: dict[str, Any]) -> dict[str, Any]:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -460,6 +460,50 @@
         c1 expect 1 ok r
         catalog2 expect PUT /catalog/register/n3 passing
         catalog expect closed""",
+    "new settings add a class and drop another, and what is open keeps its own": """
+        c1 send 1 day-view body=a
+        runtime expect start * day-view a as X
+        c1 send 2 late-view
+        c1 expect 2 Bad
+        node send reload 1 add=late-view drop=day-view
+        node expect count reload.done 1
+        c1 send 3 late-view body=b
+        runtime expect start * late-view b as Y
+        runtime send end $Y ok r
+        c1 expect 3 ok r
+        c1 send 4 day-view body=c    # callers hear of it late
+        runtime expect start * day-view c as Z
+        runtime send end $Z ok r
+        c1 expect 4 ok r
+        runtime send end $X ok r
+        c1 expect 1 ok r
+        desk send GET /stats
+        desk expect 200 succeeded.day-view=2 succeeded.late-view=1 * * sighup_applied=1""",
+    "a key is known though its class has another deadline since": """
+        c1 send 1 book-visit key=K body=a
+        runtime expect start * book-visit a as X
+        node send reload 1 deadline=book-visit:9000000
+        node expect count reload.done 1
+        c1 send 2 book-visit key=K body=a
+        node expect count keys.joined 1
+        runtime send end $X ok r
+        c1 expect * ok r
+        c1 expect * ok r
+        c1 send 3 book-visit key=K body=a
+        c1 expect 3 ok r
+        node expect count runs.started 1""",
+    "a file with a wrong deadline, or without a key that was there, is turned down whole": """
+        node send reload 2 add=late-view deadline=day-view:0
+        node send reload 2 add=late-view deadline=day-view:-5
+        node send reload 2 add=late-view deadline=day-view:soon
+        node send reload 2 add=late-view lacks=seed
+        node send reload 2 add=late-view lacks=settings
+        node expect count reload.refused 5
+        c1 send 1 late-view
+        c1 expect 1 Bad
+        runtime expect nothing
+        desk send GET /stats
+        desk expect 200 sighup_rejected=5""",
     "a second reload may lead back": """
         c1 send 1 slot-search
         runtime expect start * as X
