Let a second process of a node take over from the first, with no key run in both

Change: with a second address callers' sockets are shared (SO_REUSEPORT). upgrade/lives.py tells by locks which processes of the node live and serve; one that gets SIGTERM while a later one serves hands over: it stops listening at once, says lastCall, stays good, and ends once it owes nothing. upgrade/claims.py has each key claimed by a file before its run; the other process waits for what it came to, and serves that or fails.

--- a/reelusher/config/platform.py
+++ b/reelusher/config/platform.py
@@ -36,6 +36,7 @@
     settings: io.Settings
     gauges: list[str]
     class_names: list[str]
+    folder: str = ""  # that processes of this node share during an upgrade; empty: there are none
     paths: frozenset[str] = frozenset()  # of all keys that the file has
 
     def lacks(self, other: "Platform") -> str | None:
@@ -93,7 +94,8 @@
         stop_ms=table.whole("stop_ms", 3000, least=100),
         limits=Limits(limits.number("cores", 1.0, least=0.01), limits.number("memory_mb", 192.0, least=16),
                       limits.whole("sockets", 1024, least=32)),
-        settings=settings, gauges=gauges, class_names=names, paths=paths_of(value))
+        settings=settings, gauges=gauges, class_names=names,
+        folder=environ.get("TMPDIR", "") if operator or "operator" in table else "", paths=paths_of(value))
 
 
 def read(path: str, environ: Mapping[str, str]) -> Platform:
--- a/reelusher/core/model.py
+++ b/reelusher/core/model.py
@@ -165,6 +165,32 @@
         """Note that a key never ran after all."""
 
 
+@dataclass(slots=True, frozen=True)
+class Claim:
+    """A key that is to be run by this process and no other of its node. Any thread calls one of the two."""
+
+    key: tuple[str, int, str]
+    door_us: int  # when the try came to the machine, Unix time
+    until_us: int  # when the window of the key is over
+    due_us: int  # when the try is due: nothing is waited for beyond that
+    digest: str  # of the body
+    done: Callable[[bool], None]  # hears whether it may be run here; False: it can't be claimed, nor run
+    elsewhere: Callable[["Result | None"], None]  # hears what it came to in another process
+
+
+class KeyClaims(Protocol):
+    """Keeps two processes of one node from running the same key. Nothing here may block."""
+
+    def keep(self, claim: Claim) -> None:
+        """Claim a key."""
+
+    def ended(self, key: tuple[str, int, str], result: Result | None) -> None:
+        """Say what the run of a claimed key came to."""
+
+    def forget(self, key: tuple[str, int, str]) -> None:
+        """Take a claim back: it never ran."""
+
+
 @dataclass(slots=True, frozen=True)
 class KeyKept:
     """The key of an attempt is durable, or could not be made so."""
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -18,10 +18,10 @@
 from reelusher.core.clock import Clock
 from reelusher.core.counters import Counters
 from reelusher.core.figures import Figures
-from reelusher.core.keys import Key, KeyTable
+from reelusher.core.keys import Entry, Key, KeyTable
 from reelusher.core.model import (
-    Answer, Arrived, Ask, CallOver, CallWanted, Dependency, DrainOrder, GaugesRead, KeyKeeper, KeyKept, Left,
-    Message, Request, Result, Runner, RunOver, RunsLost, Verdict)
+    Answer, Arrived, Ask, CallOver, CallWanted, Claim, Dependency, DrainOrder, GaugesRead, KeyClaims,
+    KeyKeeper, KeyKept, Left, Message, Request, Result, Runner, RunOver, RunsLost, Verdict)
 from reelusher.core.pace import Pace
 from reelusher.core.timers import Timers
 
@@ -40,6 +40,7 @@
     """What callers are to hear at present; written by the owner, read by fronts."""
 
     healthy: bool = True  # as the module sees it
+    handing_over: bool = False  # another process of this node serves on, so the node stays good
     away: bool = False  # operators send callers away; written by whoever they told
     feedback: float | None = None
     idle_us: int = 0
@@ -48,7 +49,7 @@
     @property
     def good(self) -> bool:
         """What health checks hear."""
-        return self.healthy and not self.away
+        return (self.healthy or self.handing_over) and not self.away
 
 
 def digest_of(request: Request) -> bytes:
@@ -80,6 +81,7 @@
         self._dependency = dependency
         self.on_health: Callable[[], None] = lambda: None  # told of a change; must not wait
         self.keeper: KeyKeeper | None = None  # makes keys durable, where the operator wants that
+        self.claims: KeyClaims | None = None  # keeps two processes of this node from running one key each
         self.admits: Callable[[int], bool] | None = None  # are requests of a tenant, by number, taken at all
         self._seed = seed
         self._controller = Controller(settings, seed, standing)
@@ -295,6 +297,11 @@
             return
         self._unask(attempt)
         entry = self.keys.of(attempt.id)
+        if entry and self.claims is not None and not attempt.waits:  # it was run here
+            if message.outcome is io.Outcome.MOOT:
+                self.claims.forget(entry.key)
+            else:
+                self.claims.ended(entry.key, message.result)
         if entry:
             dropped = self.keys.store(entry, message.result)
             if dropped:
@@ -382,13 +389,33 @@
         if not self.counters.must(in_time, "a drain runs nothing that came after the grace"):
             return
         attempt.stage, attempt.ran = Stage.RUNNING, True
-        if self.keeper is not None and entry is not None:
-            attempt.waits, number = True, attempt.id
-            self.keeper.keep(entry.key, entry.until_us, entry.digest,
-                             lambda well: self.post(KeyKept(number, well)))
+        if entry is not None and (self.claims is not None or self.keeper is not None):
+            attempt.waits = True
+            self._make_safe(attempt, entry)
             return
         self._start(attempt)
 
+    def _make_safe(self, attempt: Attempt, entry: Entry) -> None:
+        """Have a key claimed, and made durable, before its run begins; `KeyKept` or the run's end follows."""
+        request, number, keeper, began_us = attempt.request, attempt.id, self.keeper, self.now
+
+        def claimed(well: bool) -> None:
+            if well and keeper is not None:
+                keeper.keep(entry.key, entry.until_us, entry.digest,
+                            lambda kept: self.post(KeyKept(number, kept)))
+            else:
+                self.post(KeyKept(number, well))
+
+        def elsewhere(result: Result | None) -> None:
+            outcome = io.Outcome.ERROR if result is None else io.Outcome.OK
+            self.post(RunOver(request.call, outcome, max(0, self.clock.now() - began_us), result))
+
+        if self.claims is None:
+            claimed(True)
+        else:
+            self.claims.keep(Claim(entry.key, request.door_us, entry.until_us, attempt.due_us,
+                                   entry.digest.hex(), claimed, elsewhere))
+
     def _start(self, attempt: Attempt) -> None:
         self.counters.add("runs.started")
         self.figures.forwarded(self.class_names[attempt.request.kind])
@@ -406,6 +433,8 @@
         entry = self.keys.of(attempt.id)
         if self.keeper is not None and entry is not None and message.well:
             self.keeper.forget(entry.key)
+        if self.claims is not None and entry is not None and message.well:
+            self.claims.forget(entry.key)
         self._run_over(RunOver(attempt.request.call, io.Outcome.MOOT))
 
     def _do_pause(self, action: io.Pause) -> None:
--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -144,7 +144,7 @@
     """
 
     def __init__(self, core: Core, address: Address, tenant: str, most: int, backlog_bytes: int,
-                 late: Callable[[float], None] = lambda late_s: None) -> None:
+                 late: Callable[[float], None] = lambda late_s: None, shared: bool = False) -> None:
         self._most = most
         self._budget = Budget(backlog_bytes)
         self._door_behind_us = DOOR_BEHIND_US + max(kind.deadline_us for kind in core.settings.classes)
@@ -157,7 +157,7 @@
         self._resting = False  # no descriptor was left for a new connection
         self._refuses = False  # what is read is refused at once
         self._poller = Poller("platform-poller", core.counters, late)
-        self._listener = Listener("platform", address, core.counters, admit=self._admit)
+        self._listener = Listener("platform", address, core.counters, admit=self._admit, shared=shared)
         self._poller.watch(self._listener.sock, self._accept)
         self._poller.every(SWEEP_S, self._sweep)
         self._endings = Endings(self._poller, self)
--- a/reelusher/net.py
+++ b/reelusher/net.py
@@ -170,9 +170,11 @@
 
     def __init__(self, name: str, address: Address, counters: Counters,
                  serve: Callable[[socket.socket, Address], None] | None = None,
-                 admit: Callable[[socket.socket], bool] = lambda sock: True) -> None:
+                 admit: Callable[[socket.socket], bool] = lambda sock: True, shared: bool = False) -> None:
         """`admit` is asked by the accepting thread; what it turns away is closed before a thread is spent.
 
+        `shared`: another process of this user may listen there too.
+
         Without `serve` there is no thread: whoever polls `sock` calls `take`.
         """
         self._name = name
@@ -181,6 +183,8 @@
         self._serve = serve
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.sock.bind(address)
         self.sock.listen(BACKLOG)
         self.sock.settimeout(LOOK_S if serve else 0.0)
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -34,11 +34,14 @@
     from reelusher.admin.api import AdminApi
     from reelusher.tenancy.durable.keys import KeyLog
     from reelusher.tenancy.shares import Shares
+    from reelusher.upgrade.claims import Claims
+    from reelusher.upgrade.lives import Lives
 
 SWITCH_S = 0.001  # a thread that waits for the interpreter gets it within this
 RESULTS_PART = 0.25  # part of the node's memory that kept results may take
 BACKLOGS_PART = 0.1  # part of it that answers may take which slow callers have not read yet
 RESERVED_SOCKETS = 48  # descriptors for listeners, files, runtime, vault, catalog and the administration API
+HANDOVER_MOST_S, HANDOVER_S = 3.0, 0.7  # an old process is ended after its longest deadline, and this
 EARLIER = 1 << 40  # tries of earlier lives of the node are numbered from here
 LEAST_CONNECTIONS = 16  # that fronts get however few descriptors there are
 
@@ -91,14 +94,29 @@
             self.fronts["platform"] = PlatformFront(
                 self.core, told.listen, PLATFORM_TENANT, self._most_connections() - self._most_ajp(),
                 int(config.memory_mb * BACKLOGS_PART * (1 << 20)),
-                lambda late_s: self._pace.note(late_s, time.monotonic()))
+                lambda late_s: self._pace.note(late_s, time.monotonic()), shared=told.operator is not None)
         self.operator = OperatorFront(told.operator, self.counters, self._ready, self.core.figures.told,
                                       self._send_away) if told and told.operator else None
+        self._lives: Lives | None = None
+        self._claims: Claims | None = None
+        if told and told.folder:
+            self._share(told.name, Path(told.folder))
         self.admin: AdminApi | None = None
         self._key_log: KeyLog | None = None
         if own:
             self._set_up(own)
 
+    def _share(self, name: str, folder: Path) -> None:
+        """Take part in upgrades: be known to other processes of this node, and claim keys before they run."""
+        from reelusher.upgrade.claims import Claims
+        from reelusher.upgrade.lives import Lives
+        try:
+            self._lives, self._claims = Lives(folder, name), Claims(folder, name)
+        except OSError as error:
+            logger.error("upgrade: {} can't be used, so no other process may take over: {}", folder, error)
+            return
+        self.core.claims = self._claims
+
     def _set_up(self, own: Operator) -> None:
         """Set up what the operator's file asks for; without one, nothing of it is loaded."""
         from reelusher.admin.api import AdminApi, Parts
@@ -162,6 +180,8 @@
         """Start all threads."""
         if self._key_log:
             self._key_log.start()
+        if self._claims:
+            self._claims.start()
         self.core.start()
         if self.runtime:
             self.runtime.connect()
@@ -180,8 +200,11 @@
 
     def _ready(self) -> bool:
         """Tell whether this process is ready to serve; from any thread."""
-        return (self._started and self.core.told.good and not self.asked_to_leave.is_set()
+        good = (self._started and self.core.told.good and not self.asked_to_leave.is_set()
                 and (self.runtime is None or self.runtime.up))
+        if good and self._lives:
+            self._lives.ready()
+        return good
 
     def _send_away(self, away: bool) -> None:
         """Have health checks answered as bad, or by the node's own health again; from any thread."""
@@ -266,13 +289,21 @@
         return False
 
     def leave(self) -> bool:
-        """Drain: serve on for the grace, answer all that is read, then return; False if time ran out."""
+        """Drain: serve on for the grace, answer all that is read, then return; False if time ran out.
+
+        Where another process of this node serves by now, that is no drain: callers are to go there at once.
+        """
         self.ask_to_leave()
-        logger.info("leaving: to be stopped in {} ms", self.config.stop_ms)
+        span_s, grace_s = self.config.stop_ms / 1000, self.config.settings.grace_us / 1e6
+        if self._lives and self._lives.successor():
+            self.core.told.handing_over = True
+            longest_us = max(kind.deadline_us for kind in self.config.settings.classes)
+            span_s, grace_s = min(longest_us / 1e6, HANDOVER_MOST_S) + HANDOVER_S, 0.0
+            logger.info("handing over to a process that was started later")
+        logger.info("leaving: to be stopped in {:.0f} ms", span_s * 1000)
         if self.catalog:
             self.catalog.stop()
-        lead(self.fronts.values(), self._order, self._late_s, self._asked_s, self.config.stop_ms / 1000,
-             self.config.settings.grace_us / 1e6)
+        lead(self.fronts.values(), self._order, self._late_s, self._asked_s, span_s, grace_s)
         left = self.core.attempts.owed
         logger.info("left after {:.0f} ms, {} unanswered", (time.monotonic() - self._asked_s) * 1000, left)
         logger.info("counters: {}", self.counters.snapshot())
@@ -304,6 +335,10 @@
         self.core.stop()
         if self._key_log:
             self._key_log.close()
+        if self._claims:
+            self._claims.close()
+        if self._lives:
+            self._lives.close()
 
 
 def set_up_log() -> None:
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -168,6 +168,7 @@
     """The runtime: answers `sync` and gauges by itself, `send end $X ok BODY`, `send wants $X BODY`."""
 
     one_at_a_time = True
+    at_once = False  # every run ends as it begins
 
     def __init__(self, world: dict[str, Any]) -> None:
         super().__init__(world)
@@ -183,6 +184,8 @@
             if self.ready:
                 self.write(lines.json_line({"msg": "ready", "how": "warm", "duration": 5}))
             return f"sync {message['serial']}"
+        if word == "start" and self.at_once:
+            self.send(["end", message["call"], "ok", "r"])
         if word == "gauges":
             if self.gauges or message["cookie"].startswith("sync"):
                 stats = self.world.get("stats", [0.2, 1, 0.1, 3])
@@ -374,6 +377,15 @@
         sock.sendall(bytes.fromhex(words[1]) if words[0] == "raw" else http1.request(words[0], words[1]))
 
     def expect(self, words: Words) -> None:
+        """Take an answer; `ready` asks for one until it is yes, as the platform does."""
+        until = time.monotonic() + PATIENCE_S
+        while words == ["ready"] and time.monotonic() < until:
+            self.send(["GET", "/healthcheck"])
+            code = self.came.get(timeout=PATIENCE_S).split(" ")[0]
+            super().expect(["closed"])
+            if code == "200":
+                return
+            time.sleep(0.02)
         super().expect(words)
         super().expect(["closed"])
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,6 +9,7 @@
 import copy
 import hashlib
 import itertools
+import tempfile
 import threading
 import time
 from functools import partial
@@ -44,7 +45,7 @@
 
 
 class NodeParty:
-    """The node itself."""
+    """The node itself, or node2: a second process of it in an upgrade, which `send start` makes."""
 
     def __init__(self, node: Node, world: dict[str, Any]) -> None:
         self.node, self.world = node, world
@@ -52,7 +53,15 @@
         self.thread = threading.Thread(target=lambda: self.left.append(node.leave()), daemon=True)
 
     def send(self, words: list[str]) -> None:
-        if words[0] == "idle":  # as the module would say
+        if words[0] == "start":  # a second one, with runtime2 and a second address of its own
+            told = platform_config(self.world, runtime="{}:{}".format(*self.world["runtime2"].address),
+                                   listen="{}:{}".format(*self.world["places"]["platform"]))
+            second = self.world["node2"] = NodeParty(Node(merge(
+                parse_platform(told, {"TMPDIR": self.world["folder"]}), None)), self.world)
+            second.node.start()
+            assert second.node.operator is not None
+            self.world["places"]["operator"] = second.node.operator.address
+        elif words[0] == "idle":  # as the module would say
             self.node.core.told.idle_us = int(words[1])
         elif words[0] == "reload":  # 2: at the second addresses; KEY=VALUE: with something else changed
             changes = dict(word.split("=") for word in words[1:] if "=" in word)
@@ -128,8 +137,13 @@
 
 def play(text: str) -> None:
     """Play a scenario against a node of its own. Lines that begin with `with` come first and change it."""
+    with tempfile.TemporaryDirectory() as folder:
+        _play(text, folder)
+
+
+def _play(text: str, folder: str) -> None:
     steps = [line.split("#")[0].split() for line in text.strip().splitlines() if line.split("#")[0].strip()]
-    world: dict[str, Any] = {"count": itertools.count(1)}
+    world: dict[str, Any] = {"count": itertools.count(1), "folder": folder}
     for which in ("", "2"):
         world |= {"runtime" + which: parties.Runtime(world), "vault" + which: parties.VaultParty(world),
                   "catalog" + which: parties.CatalogParty(world)}
@@ -140,7 +154,7 @@
         world["stats"] = [1.0, 40, 0.5, 3]
     told = parse_platform(platform_config(
         world, stop_ms=int(changes.pop("stop_ms", 4000)),
-        limits={"sockets": int(changes.pop("sockets", 1024))}), {})
+        limits={"sockets": int(changes.pop("sockets", 1024))}), {"TMPDIR": folder})
     own = operator_config(world)
     own["ajp"] |= {key: int(value) if value.isdigit() else value for key, value in changes.items()}
     node = Node(merge(told, parse_operator(own, tuple(told.class_names), has_runtime=True)))
@@ -162,7 +176,9 @@
                 except Exception as error:
                     raise AssertionError(f"at {' '.join(step)!r}: {error!r}") from error
     finally:
-        node.close()
+        for party in world.values():
+            if isinstance(party, NodeParty):
+                party.node.close()
         for party in world.values():
             if isinstance(party, parties.Server):
                 party.close(["listener"])
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -420,6 +420,58 @@
         desk expect 404
         desk send raw 0d0a0d0a
         desk expect 400""",
+    # Upgrades
+    "an old process hands over, and a key that it runs is not run by the new one": """
+        c1 send 1 book-visit key=K body=a
+        runtime expect start * book-visit a as X
+        node send start
+        runtime2 expect sync 0
+        desk expect ready
+        node send term
+        c1 expect lastCall
+        c1 send 2 health    # the node as such stays good
+        c1 expect 2 ok True
+        c2 send 1 book-visit key=K body=a
+        c3 send 1 book-visit key=K body=b    # another body: whoever sends it is not served what was kept
+        c3 expect 1 Error
+        runtime2 expect nothing
+        runtime send end $X ok r
+        c1 expect 1 ok r
+        c2 expect 1 ok r
+        node expect left
+        c4 send 1 book-visit key=K body=a
+        c4 expect 1 ok r
+        c4 send 2 slot-search body=c
+        runtime2 expect start * slot-search c as Y
+        runtime2 send end $Y ok s
+        c4 expect 2 ok s
+        node2 send term
+        node2 expect left""",
+    "a key whose run failed in the old process fails in the new one, one that never ran is run there": """
+        c1 send 1 book-visit key=K body=a
+        runtime expect start * book-visit a as X
+        c1 send 2 book-visit key=L body=b
+        runtime expect start * book-visit b as Y
+        node send start
+        desk expect ready
+        node send term
+        c1 expect lastCall
+        c2 send 1 book-visit key=K body=a
+        c3 send 1 book-visit key=L body=b
+        runtime2 expect sync 0
+        runtime send end $X failed
+        runtime send end $Y void
+        c1 expect * *
+        c1 expect * *
+        c2 expect 1 Error
+        runtime2 expect start * book-visit b as Z
+        runtime2 send end $Z ok r
+        c3 expect 1 ok r""",
+    "without another process a signal is a notice to drain": """
+        node send term
+        c1 send 1 health
+        c1 expect 1 ok False
+        node expect left""",
     # The catalog
     "reports go on through an outage of the catalog": """
         catalog expect PUT /catalog/register/n3 passing
