--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -468,9 +468,12 @@
         runtime2 send end $Z ok r
         c3 expect 1 ok r""",
     "without another process a signal is a notice to drain": """
-        node send term
         c1 send 1 health
-        c1 expect 1 ok False
+        c1 expect 1 ok True
+        node send term
+        c1 expect lastCall    # after the grace, when the owner has long heard of it
+        c1 send 2 health
+        c1 expect 2 ok False
         node expect left""",
     # The catalog
     "reports go on through an outage of the catalog": """
