--- a/reelusher/admin/api.py
+++ b/reelusher/admin/api.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl
 
 from loguru import logger
@@ -24,6 +24,9 @@
 from reelusher.tenancy.store import Store
 from reelusher.wire import http1
 
+if TYPE_CHECKING:
+    from reelusher.fleet.membership.service import Membership
+
 MOST_BODY = 1 << 18
 OPERATOR = "operator"  # name of the token that stands in clear text, in the audit trail
 TIMEOUT_S = 30.0  # for the next request on a connection, and for one answer to be taken
@@ -38,6 +41,7 @@
     pool: Pool
     status: Callable[[], dict[str, Any]]
     drain: Callable[[], bool]  # False: it drains already
+    fleet: "Membership | None" = None
 
 
 class AdminApi:
@@ -55,11 +59,14 @@
             ("PUT", "workers", True): self._activate,
             ("GET", "status", False): self._status, ("GET", "counters", False): self._counters,
             ("GET", "openapi.json", False): lambda asked: Reply(200, openapi.document()),
-            ("POST", "drain", False): self._drain, **TenantApi(parts.core, parts.tenants, parts.store).routes}
+            ("POST", "drain", False): self._drain,
+            ("GET", "fleet", False): self._fleet, ("POST", "fleet/forget", True): self._forget,
+            **TenantApi(parts.core, parts.tenants, parts.store).routes}
 
     def routes(self) -> set[tuple[str, str]]:
         """Return what is answered, as method and path."""
-        return {(method, f"/v1/{kind.replace('/', '/{name}/')}" + "/{name}" * (named and "/" not in kind))
+        return {(method, f"/v1/{kind.replace('tenants/', 'tenants/{name}/')}"
+                 + "/{name}" * (named and not kind.startswith("tenants/")))
                 for method, kind, named in self._routes}
 
     def start(self) -> None:
@@ -124,6 +131,8 @@
                 pass
             case ["v1", "tenants", name, part] if name:
                 kind = f"tenants/{part}"
+            case ["v1", "fleet", part, name] if name:
+                kind = f"fleet/{part}"
             case _:
                 raise Refused(404, "no such resource")
         if token.tenant and (method, kind, name) not in {
@@ -175,6 +184,22 @@
     def _counters(self, _asked: Asked) -> Reply:
         return Reply(200, self._parts.core.counters.snapshot())
 
+    def _fleet(self, _asked: Asked) -> Reply:
+        return Reply(200, self._membership().status())
+
+    def _forget(self, asked: Asked) -> Reply:
+        done = self._membership().forget(asked.name)
+        if done is None:
+            raise Refused(404, f"no member is named {asked.name!r}")
+        if not done:
+            raise Refused(409, f"{asked.name!r} lives; it leaves by its own drain")
+        return Reply(202, {"forgotten": asked.name})
+
+    def _membership(self) -> "Membership":
+        if self._parts.fleet is None:
+            raise Refused(404, "this node is in no fleet: its configuration has no [fleet]")
+        return self._parts.fleet
+
     def _drain(self, _asked: Asked) -> Reply:
         if not self._parts.drain():
             raise Refused(409, "it drains already")
--- a/reelusher/admin/openapi.py
+++ b/reelusher/admin/openapi.py
@@ -72,6 +72,10 @@
      _object(("activation",), activation={"enum": list(ACTIVATIONS)}),
      {200: "the worker", 400: "no such activation", 404: "there is none"}),
     ("GET", "/v1/status", "Tell how the node stands.", [], None, {200: "health, what is in hand, decisions"}),
+    ("GET", "/v1/fleet", "List the members of the fleet.", [], None,
+     {200: "this node, its health, and all members that it knows", 404: "this node is in no fleet"}),
+    ("POST", "/v1/fleet/forget/{name}", "Have the fleet forget dead members of a name.", [], None,
+     {202: "they count as left", 404: "none is known", 409: "one lives"}),
     ("GET", "/v1/counters", "Return all counters.", [], None, {200: "counts by name"}),
     ("GET", "/v1/openapi.json", "Return this document.", [], None, {200: "an OpenAPI document"}),
     ("POST", "/v1/drain", "Have the node leave.", [], None, {202: "it leaves", 409: "it does already"})]
--- a/reelusher/config/operator.py
+++ b/reelusher/config/operator.py
@@ -9,11 +9,12 @@
 
 from reelusher import interface as io
 from reelusher.config.platform import seed_of
-from reelusher.config.table import Address, ConfigError, Table
+from reelusher.config.table import Address, ConfigError, Table, address_of
 from reelusher.wire.ajp13 import DEFAULT_PACKET, KNOWN_NAMES, MOST_PACKET
 
 RUNTIME = "runtime"  # the backend of tenants whose requests run on the platform's runtime
 ACTIVATIONS = ("active", "disabled", "stopped")
+LONGEST_LABEL = 64  # characters of a fleet's name, a zone and a region: they go into each datagram
 GAUGES = ["busy", "runnable", "memory", "connections"]  # that workers report, in this order
 
 
@@ -142,6 +143,19 @@
     state_dir: str  # where they are kept; empty: beside the state file, if that is named, else nowhere
 
 
+@dataclass(slots=True, frozen=True)
+class Fleet:
+    """Membership among the nodes of a fleet."""
+
+    name: str  # nodes of another fleet are not heard
+    listen: Address  # UDP and TCP
+    advertise: Address  # where others reach this node; port 0: the one that it listens on
+    seeds: tuple[Address, ...]
+    zone: str
+    region: str
+    secret_file: str
+
+
 @dataclass(slots=True, frozen=True)
 class Operator:
     """All that an operator's file says."""
@@ -153,6 +167,7 @@
     sockets: int
     ajp: Ajp | None
     admin: Admin | None
+    fleet: Fleet | None
     workers: tuple[Worker, ...]
     balancers: tuple[Balancer, ...]
     tenants: tuple[Tenant, ...]
@@ -201,6 +216,29 @@
     return made
 
 
+def _read_fleet(table: Table) -> Fleet:
+    table.only("name", "listen", "advertise", "seeds", "zone", "region", "secret_file")
+    listen = _ip(table.address("listen"), table.path("listen"))
+    labels = [table.text(key, default).strip() for key, default in
+              (("name", "reelusher"), ("zone", " "), ("region", " "))]
+    for key, label in zip(("name", "zone", "region"), labels, strict=True):
+        if len(label) > LONGEST_LABEL:
+            raise ConfigError(table.path(key), f"at most {LONGEST_LABEL} characters are wanted")
+    advertise = _ip(table.address("advertise"), table.path("advertise")) if "advertise" in table else listen
+    seeds = tuple(_ip(address_of(seed, f"{table.path('seeds')}[{place}]"), f"{table.path('seeds')}[{place}]")
+                  for place, seed in enumerate(table.texts("seeds", ())))
+    return Fleet(labels[0], listen, advertise, seeds, labels[1], labels[2], table.text("secret_file"))
+
+
+def _ip(address: Address, key: str) -> Address:
+    """Take an address of numbers only: looking a name up could hold up all that is due."""
+    try:
+        ip_address(address[0])
+    except ValueError:
+        raise ConfigError(key, f"an IP address is wanted, not {address[0]!r:.60}") from None
+    return address
+
+
 def _read_token(table: Table) -> Token:
     table.only("name", "sha256", "tenant")
     made = Token(table.text("name"), table.text("sha256").lower(), table.text("tenant", " ").strip())
@@ -311,7 +349,7 @@
 def parse(value: Any, class_names: tuple[str, ...] = (), has_runtime: bool = False) -> Operator:
     """Check an operator's file. The class names are the platform's, which go before the file's own."""
     table = Table(value)
-    table.only("node", "ajp", "admin", "classes", "capacity", "workers", "balancers", "tenants")
+    table.only("node", "ajp", "admin", "fleet", "classes", "capacity", "workers", "balancers", "tenants")
     node = table.table("node")
     node.only("name", "seed", "stop_ms", "memory_mb", "sockets")
     settings, own_names = _read_settings(table)
@@ -336,6 +374,7 @@
         sockets=node.whole("sockets", 1024, 64, 1 << 20),
         ajp=_read_ajp(table.table("ajp")) if "ajp" in table else None,
         admin=_read_admin(table.table("admin")) if "admin" in table else None,
+        fleet=_read_fleet(table.table("fleet")) if "fleet" in table else None,
         workers=workers, balancers=balancers, tenants=tenants, settings=None if class_names else settings,
         class_names=names)
 
--- /dev/null
+++ b/reelusher/fleet/membership/service.py
@@ -0,0 +1,364 @@
+"""The sockets and threads of membership: datagrams both ways, full states over TCP. `Swim` decides."""
+
+import contextlib
+import socket
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any, TypeVar
+
+from loguru import logger
+
+from reelusher.config.operator import Fleet
+from reelusher.config.table import Address, ConfigError, address_of
+from reelusher.core.counters import Counters
+from reelusher.fleet.membership.messages import (
+    LEAST_SECRET, MOST_DATAGRAM, MOST_STATE, Message, Refused, Seal, State, StateReply, StateRequest, Update)
+from reelusher.fleet.membership.swim import Said, Swim
+from reelusher.fleet.membership.table import Change
+from reelusher.net import Listener, connect, spawn
+from reelusher.pacing.backoff import Backoff
+
+STATE_S = 2.0  # for one exchange of full states
+STATES_PER_S, STATES_AT_ONCE = 10.0, 10.0  # that a member gives; whoever comes beyond is sent to others
+MOST_ASKERS = 8  # connections at once
+INSTEAD = 5  # members that one is sent to
+JOIN_BASE_S, JOIN_CAP_S = 0.2, 3.0  # between tries to join
+SYNC_S = 15.0, 30.0  # between exchanges with a member by chance, which mend what gossip has lost
+SYNC_LEAST_S = 0.5, 1.5  # between exchanges that a found side asks for
+LOG_S = 1.0  # at most one line about changes in so long
+LOG_NAMES = 5  # named in it
+DROP_S = 60.0  # between looks for those that have been gone for long
+RECEIVE = 1 << 16
+T = TypeVar("T")
+
+
+def read_secret(path: str) -> bytes:
+    """Read what the fleet's members share; raise `ConfigError` where it can't serve."""
+    try:
+        secret = Path(path).read_bytes().strip()
+    except OSError as error:
+        raise ConfigError("fleet.secret_file", str(error)) from None
+    if len(secret) < LEAST_SECRET:
+        raise ConfigError("fleet.secret_file", f"at least {LEAST_SECRET} bytes are wanted")
+    return secret
+
+
+class Allowance:
+    """So many a second, and so many at once. Not for two threads at once."""
+
+    def __init__(self, per_s: float, at_once: float, now: float) -> None:
+        self._per_s, self._most, self._left, self._at_s = per_s, at_once, at_once, now
+
+    def take(self, now: float) -> bool:
+        """Take one; False where there is none."""
+        self._left = min(self._most, self._left + (now - self._at_s) * self._per_s)
+        self._at_s = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+class Membership:
+    """A node's place in its fleet. Lost, or with nobody there, the node serves on as it does alone."""
+
+    def __init__(self, config: Fleet, name: str, random: Random, counters: Counters) -> None:
+        """Listen at once, so that an address which is taken is told before anything starts."""
+        self._config, self._random, self._counters = config, random, counters
+        life = int(time.time() * 1000)
+        place = "{}:{}".format(*config.advertise)
+        self._seeds = [seed for seed in (f"{host}:{port}" for host, port in config.seeds) if seed != place]
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.bind(config.listen)
+        self.address: Address = self._sock.getsockname()
+        if not config.advertise[1]:
+            place = "{}:{}".format(*self.address)
+        self._listener = Listener("fleet", self.address, counters, self._serve, self._admit)
+        now = time.monotonic()
+        self._swim = Swim(Update(place, name, config.zone, config.region, life, State.ALIVE), random, now)
+        self._seal = Seal(read_secret(config.secret_file), config.name, place, life)
+        self._lock = threading.Lock()  # of the two above; held for reckoning only, never while waiting
+        self._states = Allowance(STATES_PER_S, STATES_AT_ONCE, now)
+        self._askers = 0
+        self._stop = threading.Event()
+        self._poke = threading.Event()  # there is someone to exchange states with
+        self._joined = not self._seeds
+        self._since: Counter[str] = Counter()  # changes that were not logged yet
+        self._names: list[str] = []
+        self._logged_s = self._dropped_s = now
+        self.on_change: Callable[[list[Change]], None] = lambda changes: None  # must not wait
+
+    # From any thread
+
+    def start(self) -> None:
+        """Start to take part."""
+        spawn("fleet", self._run)
+        self._listener.start()
+        spawn("fleet-sync", self._sync)
+
+    def leave(self) -> None:
+        """Say that this node leaves; gossip goes on until `close`."""
+        with self._lock:
+            said = self._swim.leave()
+        self._carry_out(said)
+
+    def close(self) -> None:
+        """Take part no longer."""
+        self._stop.set()
+        self._poke.set()
+        self._listener.stop()
+
+    def live(self) -> list[Update]:
+        """Return the live members, this one first."""
+        with self._lock:
+            table = self._swim.table
+            return [self._swim.own, *(table.members[place].said for place in table.here())]
+
+    def status(self) -> dict[str, Any]:
+        """Return what operators want to know."""
+        now = time.monotonic()
+        with self._lock:
+            swim = self._swim
+            members = [_told(member.said, now - member.since_s) for member in swim.table.members.values()]
+            own, health, size, joined = swim.own, swim.health, swim.size(), self._joined
+            namesakes = self._namesakes()
+        return {"fleet": self._config.name, "own": _told(own, None) | {"health": health, "joined": joined},
+                "live": size, "namesakes": namesakes,
+                "members": sorted(members, key=lambda member: (member["name"], member["address"]))}
+
+    def forget(self, name: str) -> bool | None:
+        """Have the fleet forget dead members of a name; False where one lives, None where none is known."""
+        now = time.monotonic()
+        with self._lock:
+            found = [place for place, member in self._swim.table.members.items() if member.said.name == name]
+            if name == self._swim.own.name or any(
+                    self._swim.table.members[place].here for place in found):
+                return False
+            all_said = [self._swim.forget(place, now) for place in found]
+        for said in all_said:
+            self._carry_out(said)
+        return True if found else None
+
+    # The thread of datagrams
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            now = time.monotonic()
+            with self._lock:
+                said = self._swim.tick(now)
+                wait_s = self._swim.next_s() - now
+                if now - self._dropped_s > DROP_S:
+                    self._dropped_s = now
+                    self._swim.table.drop_old(now)
+            self._carry_out(said)
+            self._log(now)
+            self._sock.settimeout(min(max(wait_s, 0.001), 1.0))
+            with contextlib.suppress(TimeoutError):
+                try:
+                    data, _ = self._sock.recvfrom(RECEIVE)
+                except TimeoutError:
+                    raise
+                except OSError as error:  # told of a datagram that nobody took, for one
+                    logger.debug("fleet: {}", error)
+                    continue
+                self._take(data)
+        self._sock.close()
+
+    def _take(self, data: bytes) -> None:
+        now = time.monotonic()
+        with self._lock:
+            message = self._open(data, Message, MOST_DATAGRAM)
+            if message is None or message.sender == self._swim.own.place:
+                return
+            said = self._swim.receive(message, now)
+            if self._swim.sync_with:
+                self._poke.set()
+        self._counters.add("fleet.received")
+        self._carry_out(said)
+
+    def _open(self, data: bytes, kind: type[T], most: int) -> T | None:
+        """Open what came; what is refused is counted and never answered."""
+        try:
+            return self._seal.open(data, kind, most)[1]
+        except Refused as error:
+            self._counters.warn(f"fleet.refused_{error}", "fleet: what came was refused: {}", error)
+            return None
+
+    def _carry_out(self, said: Said | None) -> None:
+        if said is None:
+            return
+        for place, message in said.out:
+            with self._lock:
+                data = self._seal.close(message)
+            try:
+                self._sock.sendto(data, socket.MSG_DONTWAIT, address_of(place, "place"))
+                self._counters.add("fleet.sent")
+                self._counters.add("fleet.sent_bytes", len(data))
+            except (OSError, ConfigError):  # a full buffer, or a place that is none: as if lost on the way
+                self._counters.add("fleet.send_failed")
+        if said.changes:
+            for change in said.changes:
+                what = change.said.state.name.lower()
+                if change.said.state is State.ALIVE and change.before is not None:
+                    what = "back"
+                self._since[what] += 1
+                self._counters.add(f"fleet.{what}")
+                if len(self._names) < LOG_NAMES:
+                    self._names.append(f"{change.said.name} {what}")
+            self.on_change(said.changes)
+
+    def _log(self, now: float) -> None:
+        """Say what has changed, in one line for all of a second: hundreds may change at once."""
+        if not self._since or now - self._logged_s < LOG_S:
+            return
+        with self._lock:
+            size, namesakes = self._swim.size(), self._namesakes()
+        changes, self._since = self._since, Counter()
+        names, self._names = self._names, []
+        self._logged_s = now
+        more = sum(changes.values()) - len(names)
+        logger.info("fleet: {} live; {}{}", size, ", ".join(names), f" and {more} more" if more > 0 else "")
+        for name, places in namesakes.items():
+            self._counters.warn("fleet.namesakes", "fleet: two live members have one name, {}: {}", name,
+                                ", ".join(places))
+
+    def _namesakes(self) -> dict[str, list[str]]:
+        found, own = self._swim.table.namesakes(), self._swim.own
+        if own.state is State.ALIVE:
+            others = [place for place, member in self._swim.table.members.items()
+                      if member.here and member.said.name == own.name]
+            if others:
+                found[own.name] = sorted([own.place, *others])
+        return found
+
+    # Full states, over TCP
+
+    def _admit(self, sock: socket.socket) -> bool:
+        with self._lock:
+            if self._askers >= MOST_ASKERS:
+                return False
+            self._askers += 1
+            return True
+
+    def _serve(self, sock: socket.socket, peer: Address) -> None:
+        """Answer one that asks for all that is known here, unless enough did of late."""
+        try:
+            with sock:
+                sock.settimeout(STATE_S)
+                data = _read_frame(sock)
+                now = time.monotonic()
+                with self._lock:
+                    asked = self._open(data, StateRequest, MOST_STATE)
+                    if asked is None:
+                        return
+                    said = self._swim.merge(asked.updates, now)
+                    if self._states.take(now):
+                        reply = StateReply(self._swim.state())
+                        self._counters.add("fleet.states_given")
+                    else:
+                        reply = StateReply([self._swim.own], self._swim.table.some(INSTEAD, asked.sender))
+                        self._counters.add("fleet.states_denied")
+                    sealed = self._seal.close(reply)
+                self._carry_out(said)
+                sock.sendall(_framed(sealed))
+        except OSError as error:
+            logger.debug("fleet: {}", error)
+        finally:
+            with self._lock:
+                self._askers -= 1
+
+    def _exchange(self, place: str) -> StateReply | None:
+        """Exchange full states with a member; None where it can't be reached or does not answer."""
+        with self._lock:
+            # one that joins tells of itself only: what others know of it, they have from its life before
+            updates = self._swim.state() if self._joined else [self._swim.own]
+            data = self._seal.close(StateRequest(self._swim.own.place, updates))
+        try:
+            # from its own address, by which others may tell who comes
+            source = (self.address[0], 0)
+            with connect(address_of(place, "place"), STATE_S, source) as sock:
+                sock.settimeout(STATE_S)
+                sock.sendall(_framed(data))
+                answer = _read_frame(sock)
+        except (OSError, ConfigError) as error:
+            logger.debug("fleet: no full state of {}: {}", place, error)
+            return None
+        now = time.monotonic()
+        with self._lock:
+            reply = self._open(answer, StateReply, MOST_STATE)
+            said = self._swim.merge(reply.updates, now) if reply else None
+        self._carry_out(said)
+        return reply
+
+    def _sync(self) -> None:
+        """Join, then exchange full states now and then, and with whoever turned out to live after all."""
+        backoff = Backoff(self._random, JOIN_BASE_S, JOIN_CAP_S)
+        instead: list[str] = []
+        while not self._joined and not self._stop.is_set():
+            asked = self._random.choice(instead or self._seeds)
+            reply = self._exchange(asked)
+            instead = reply.instead if reply else []
+            if reply and not reply.instead:
+                self._joined = True
+                logger.info("fleet: joined through {}, {} live", asked, len(self.live()))
+            elif reply:
+                self._stop.wait(self._random.uniform(0.05, JOIN_BASE_S))
+            else:
+                self._counters.warn("fleet.unjoined", "fleet: nobody to join at {}, serving alone", asked)
+                self._stop.wait(backoff.next_s())
+        due_s = time.monotonic() + self._random.uniform(0.0, SYNC_S[1])
+        while not self._stop.is_set():
+            self._poke.wait(max(0.0, due_s - time.monotonic()))
+            self._poke.clear()
+            if self._stop.is_set():
+                return
+            with self._lock:
+                found = [self._swim.sync_with.pop()] if self._swim.sync_with else []
+                self._swim.sync_with.clear()
+                if not found and time.monotonic() >= due_s:
+                    found = self._by_chance()
+                    due_s = time.monotonic() + self._random.uniform(*SYNC_S)
+            for place in found:
+                self._exchange(place)
+                self._stop.wait(self._random.uniform(*SYNC_LEAST_S))
+
+    def _by_chance(self) -> list[str]:
+        """Return a member to exchange states with, now and then a seed that is not among the live."""
+        live = set(self._swim.table.here())
+        lost = [seed for seed in self._seeds if seed not in live]
+        if lost and self._random.random() < 3 / (1 + len(live)):
+            return [self._random.choice(lost)]
+        return self._swim.table.some(1)
+
+
+def _told(said: Update, since_s: float | None) -> dict[str, Any]:
+    told = {"name": said.name, "address": said.place, "zone": said.zone, "region": said.region,
+            "incarnation": said.incarnation, "state": said.state.name.lower()}
+    return told if since_s is None else told | {"since_s": round(since_s, 1)}
+
+
+def _framed(data: bytes) -> bytes:
+    return len(data).to_bytes(4) + data
+
+
+def _read_frame(sock: socket.socket) -> bytes:
+    size = int.from_bytes(_read(sock, 4))
+    if size > MOST_STATE:
+        raise OSError(f"a state of {size} bytes")
+    return _read(sock, size)
+
+
+def _read(sock: socket.socket, size: int) -> bytes:
+    """Read so many bytes in the time of one exchange, however slowly they come."""
+    made, until = bytearray(), time.monotonic() + STATE_S
+    while len(made) < size:
+        sock.settimeout(max(0.001, until - time.monotonic()))
+        data = sock.recv(min(1 << 16, size - len(made)))
+        if not data:
+            raise OSError("closed in the middle")
+        made += data
+    return bytes(made)
--- /dev/null
+++ b/reelusher/fleet/membership/swim.py
@@ -0,0 +1,390 @@
+"""The protocol, free of I/O: SWIM (Das, Gupta, Motivala 2002) with Lifeguard (Dadgar, Phillips, Currey 2018).
+
+All times are seconds by a clock that only goes on. What a call returns is to be sent; nothing here waits.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import inf, log, log2
+from random import Random
+
+from msgspec.structs import replace
+
+from reelusher.fleet.membership.messages import Kind, Message, State, Update
+from reelusher.fleet.membership.table import Change, Table
+
+PERIOD_S = 0.4  # between probes of one node; each member is probed by someone about that often
+DIRECT_S = 0.15  # until others are asked to probe too
+HELPERS = 3  # that are asked
+NACK_PART = 0.8  # of a helper's time, after which it says that it hears nothing either
+GOSSIP_S = 0.1  # between rounds of gossip, which there are only while there is news
+FANOUT = 4  # members that a round goes to
+SPREAD = 4  # times log2 of the size: how often one piece of news is sent on
+MOST_NEWS = 16  # pieces in one datagram: they stay under its size with the longest names that are usual
+NEWS_BYTES = 1000  # and under this, by the length of names
+CONFIRM = 3  # further accusers that bring a suspicion to its shortest time
+SUSPECT_S = 0.5  # the shortest time of a suspicion, to which comes
+SUSPECT_LOG_S = 0.05  # so much for each doubling of the fleet: news of it must get there and back
+SUSPECT_MOST = 3.0  # times the shortest: with no accuser beside the first
+HEALTH_MOST = 8  # the worst local health: probes are up to so many times slower
+STALL_S = 2 * PERIOD_S  # the node itself stood still: it has nobody to blame for that time
+LAST_CALL_S = 0.2  # an accuser waits so long for the answer to its last call
+UNHEARD_S = 2 * PERIOD_S  # so long does a helper that heard nothing join a suspicion
+RECONNECTS = 3.0  # members held for dead that all live ones together try in a period
+TELLS = 8  # members told in a round of gossip what was heard of them
+
+
+@dataclass(slots=True)
+class Probe:
+    """One that is under way."""
+
+    target: str
+    seq: int
+    ask_s: float  # when others are asked
+    end_s: float
+    asked: int = 0
+    nacks: int = 0
+
+
+@dataclass(slots=True)
+class Relayed:
+    """A probe for someone else."""
+
+    asker: str
+    target: str
+    seq: int  # the asker's
+    nack_s: float
+    end_s: float
+
+
+@dataclass(slots=True)
+class News:
+    """A piece that is being sent on."""
+
+    said: Update
+    sent: int = 0
+
+
+@dataclass(slots=True)
+class Said:
+    """What came of a call: datagrams to send, by place, and states that changed."""
+
+    out: list[tuple[str, Message]] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
+
+
+class Swim:
+    """One member's part of the protocol."""
+
+    def __init__(self, own: Update, random: Random, now: float) -> None:
+        self.own, self.random = own, random
+        self.table = Table(random)
+        self.health = 0  # 0 is well; Lifeguard's local health multiplier less one
+        self.refuted = 0
+        self.stalls = 0
+        self.sync_with: set[str] = set()  # members to exchange full states with: there is much to tell
+        self._probe: Probe | None = None
+        self._relayed: dict[int, Relayed] = {}
+        self._unheard: dict[str, float] = {}  # asked for others in vain, and when
+        self._news: dict[str, News] = {}
+        self._tells: deque[Update] = deque()
+        self._seq = random.getrandbits(32)
+        self._next_probe_s = now + random.uniform(0.0, PERIOD_S)
+        self._next_gossip_s = now + random.uniform(0.0, GOSSIP_S)
+        self._suspicions: dict[str, float] = {}  # when each began
+        self._last_calls: dict[str, float] = {}  # suspects that were called once more, and until when
+        self._ticked_s = now
+        self._said = Said()
+        self._spread(own)
+
+    def _took(self) -> Said:
+        said, self._said = self._said, Said()
+        return said
+
+    # What the table tells
+
+    def size(self) -> int:
+        """Return how many live members there are, this one among them."""
+        return 1 + len(self.table.here())
+
+    def suspicion_s(self, accusers: int) -> float:
+        """Return how long a suspicion lasts that so many hold: the more, the shorter."""
+        least = SUSPECT_S + SUSPECT_LOG_S * log2(self.size() + 1)
+        confirm = max(1, min(CONFIRM, self.size() - 3))
+        most = least * SUSPECT_MOST
+        part = log(max(1, accusers)) / log(confirm + 1)
+        return max(least, most - (most - least) * part)
+
+    def _suspicion_ends(self, place: str, since: float) -> float:
+        """Return when this node takes a suspect for dead, or, as an accuser, calls it once more before that.
+
+        A refutation that is late is heard by the last call. Only accusers make one, and there are few; all
+        others wait for their word, and go by themselves only where it stays out.
+        """
+        accusers = self.table.members[place].accusers
+        due_s = since + self.suspicion_s(len(accusers))
+        return self._last_calls.get(place, due_s if self.own.place in accusers else due_s + 2 * LAST_CALL_S)
+
+    def state(self) -> list[Update]:
+        """Return all that is known, this member first."""
+        return [self.own, *(member.said for member in self.table.members.values())]
+
+    # Time
+
+    def next_s(self) -> float:
+        """Return when `tick` is wanted at the latest."""
+        times = [self._next_probe_s]
+        if self._news or self._tells:
+            times.append(self._next_gossip_s)
+        if self._probe:
+            times.append(self._probe.end_s if self._probe.asked else self._probe.ask_s)
+        times += [one.nack_s for one in self._relayed.values()]
+        times += [self._suspicion_ends(place, since) for place, since in self._suspicions.items()]
+        return min(times)
+
+    def tick(self, now: float) -> Said:
+        """Do what is due."""
+        stood_s = now - self._ticked_s
+        self._ticked_s = now
+        if stood_s > STALL_S + self.health * PERIOD_S:
+            self._stalled(stood_s, now)
+        if self.own.state is State.LEFT:  # what it heard last is still passed on
+            self._next_probe_s = now + PERIOD_S
+            if now >= self._next_gossip_s:
+                self._gossip(now)
+            return self._took()
+        self._probe_on(now)
+        self._relay_on(now)
+        for place, since in list(self._suspicions.items()):
+            member = self.table.members.get(place)
+            if member is None or member.said.state is not State.SUSPECT:
+                del self._suspicions[place]
+                self._last_calls.pop(place, None)
+            elif now >= self._suspicion_ends(place, since):
+                if place in self._last_calls or self.own.place not in member.accusers:
+                    self._learn(replace(member.said, state=State.DEAD, accuser=self.own.place), now)
+                else:
+                    self._last_calls[place] = now + LAST_CALL_S
+                    self._seq += 1
+                    self._send(place, Kind.PING, self._seq)
+        if now >= self._next_probe_s:
+            self._unheard = {place: at for place, at in self._unheard.items() if now - at < UNHEARD_S}
+            self._begin_probe(now)
+        if now >= self._next_gossip_s:
+            self._gossip(now)
+        return self._took()
+
+    def _stalled(self, stood_s: float, now: float) -> None:
+        """Don't hold it against others that this process stood still."""
+        self.stalls += 1
+        self._worse()
+        self._probe = None
+        self._relayed.clear()
+        self._suspicions = {place: since + stood_s for place, since in self._suspicions.items()}
+        self._last_calls.clear()
+
+    # Probes
+
+    def _worse(self, by: int = 1) -> None:
+        self.health = min(HEALTH_MOST, self.health + by)
+
+    def _begin_probe(self, now: float) -> None:
+        slower = 1 + self.health
+        self._next_probe_s = now + PERIOD_S * slower * self.random.uniform(0.9, 1.1)
+        self._reconnect()
+        target = self.table.next_target()
+        if target is None or self._probe is not None:
+            return
+        self._seq += 1
+        self._probe = Probe(target, self._seq, now + DIRECT_S * slower, now + PERIOD_S * 0.9 * slower)
+        self._send(target, Kind.PING, self._seq)
+
+    def _probe_on(self, now: float) -> None:
+        probe = self._probe
+        if probe is None:
+            return
+        if now >= probe.end_s:
+            self._probe = None
+            member = self.table.members.get(probe.target)
+            # helpers that did not even say that they hear nothing: more likely it is this node that is deaf
+            self._worse(max(0, probe.asked - probe.nacks) if probe.asked else 1)
+            if member is not None and member.here:
+                self._learn(replace(member.said, state=State.SUSPECT, accuser=self.own.place), now)
+        elif now >= probe.ask_s and not probe.asked:
+            helpers = self.table.some(HELPERS, probe.target)
+            probe.asked, probe.ask_s = len(helpers), inf
+            for helper in helpers:
+                self._send(helper, Kind.PING_REQUEST, probe.seq, probe.target)
+
+    def _relay_on(self, now: float) -> None:
+        for seq, one in list(self._relayed.items()):
+            if now >= one.end_s:
+                del self._relayed[seq]
+                self._unheard[one.target] = now
+                self._confirm(one.target, now)
+            elif now >= one.nack_s:
+                one.nack_s = one.end_s
+                self._send(one.asker, Kind.NACK, one.seq)
+
+    def _confirm(self, place: str, now: float) -> None:
+        """Join a suspicion of one that has not answered here either; it begins none by itself."""
+        member = self.table.members.get(place)
+        if member is not None and member.said.state is State.SUSPECT and (
+                now - self._unheard.get(place, -inf) < UNHEARD_S and self.own.place not in member.accusers):
+            self._learn(replace(member.said, accuser=self.own.place), now)
+
+    def _reconnect(self) -> None:
+        """Try one that is held for dead: a cut may have healed. All together make few such tries."""
+        dead = [place for place, member in self.table.members.items() if member.said.state is State.DEAD]
+        if dead and self.random.random() < RECONNECTS / self.size():
+            self._seq += 1
+            self._send(self.random.choice(dead), Kind.PING, self._seq)
+
+    # News
+
+    def _limit(self) -> int:
+        return int(SPREAD * log2(self.size() + 1)) + 1
+
+    def _spread(self, said: Update) -> None:
+        self._news[said.place] = News(said)
+
+    def _pick_news(self, to: str) -> list[Update]:
+        """Return what is to be told: what concerns the one spoken to first, then what was told least."""
+        about = self.table.members.get(to)
+        told = [about.said] if about is not None and about.said.state is not State.ALIVE else []
+        left, limit = NEWS_BYTES, self._limit()
+        for place, news in sorted(self._news.items(), key=lambda item: item[1].sent):
+            if len(told) >= MOST_NEWS or left < 0:
+                break
+            if place != to or news.said.state is State.ALIVE:
+                told.append(news.said)
+                left -= 30 + sum(map(len, (place, news.said.name, news.said.zone, news.said.region,
+                                           news.said.accuser)))
+            news.sent += 1
+            if news.sent >= limit:
+                del self._news[place]
+        return told
+
+    def _send(self, to: str, kind: Kind, seq: int = 0, target: str = "") -> None:
+        self._said.out.append((to, Message(kind, self.own.place, seq, target, self._pick_news(to))))
+
+    def _gossip(self, now: float) -> None:
+        self._next_gossip_s = now + GOSSIP_S * self.random.uniform(0.9, 1.1)
+        for _ in range(min(TELLS, len(self._tells))):
+            said = self._tells.popleft()
+            self._said.out.append((said.place, Message(Kind.GOSSIP, self.own.place, updates=[said])))
+        if self._news:
+            for to in self.table.some(FANOUT):
+                self._send(to, Kind.GOSSIP)
+
+    def _learn(self, said: Update, now: float) -> None:
+        """Take a piece of news; what is new is sent on."""
+        if said.place == self.own.place:
+            self._hear_of_self(said)
+            return
+        member = self.table.members.get(said.place)
+        if member is not None and said.state is State.SUSPECT is member.said.state and (
+                said.incarnation == member.said.incarnation and said.accuser not in member.accusers
+                and len(member.accusers) <= CONFIRM):
+            member.accusers.add(said.accuser)  # one more who does not hear from it
+            self._spread(said)
+            return
+        change = self.table.take(said, now)
+        if change is None:
+            if member is not None and member.said is said:  # a new life of one that was live before
+                self._spread(said)
+            return
+        self._said.changes.append(change)
+        self._spread(said)
+        if said.state is State.SUSPECT:
+            self._suspicions[said.place] = now
+            self._confirm(said.place, now)
+        else:
+            self._suspicions.pop(said.place, None)
+            self._last_calls.pop(said.place, None)
+            self._unheard.pop(said.place, None)
+
+    def _hear_of_self(self, said: Update) -> None:
+        """Refute what is wrong; whoever has to is in doubt of its own health."""
+        if self.own.state is State.LEFT or not (said.beats(self.own) or said.state is not State.ALIVE):
+            return
+        if said.incarnation < self.own.incarnation:  # refuted already, but whoever says so has not heard
+            if self.own.place not in self._news:
+                self._spread(self.own)
+            return
+        self.refuted += 1
+        self._worse()
+        self.own = replace(self.own, incarnation=said.incarnation + 1)
+        self._spread(self.own)
+
+    # What comes in
+
+    def receive(self, message: Message, now: float) -> Said:
+        """Take a datagram."""
+        sender = self.table.members.get(message.sender)
+        if sender is not None and not sender.here and sender.said.state is State.DEAD:
+            self.sync_with.add(message.sender)  # it lives: there is a side that this one has not heard of
+        for said in message.updates:
+            self._learn(said, now)
+        match message.kind:
+            case Kind.PING if self.own.state is not State.LEFT:
+                self._send(message.sender, Kind.ACK, message.seq)
+            case Kind.PING_REQUEST if self.own.state is not State.LEFT:
+                self._seq += 1
+                slower = 1 + self.health
+                self._relayed[self._seq] = Relayed(
+                    message.sender, message.target, message.seq, now + DIRECT_S * NACK_PART,
+                    now + PERIOD_S * slower)
+                self._send(message.target, Kind.PING, self._seq)
+            case Kind.ACK:
+                self._acked(message)
+            case Kind.NACK if self._probe and self._probe.seq == message.seq:
+                self._probe.nacks += 1
+            case _:
+                pass
+        return self._took()
+
+    def _acked(self, message: Message) -> None:
+        relayed = self._relayed.pop(message.seq, None)
+        if relayed is not None:
+            self._send(relayed.asker, Kind.ACK, relayed.seq)
+        elif self._probe is not None and self._probe.seq == message.seq:
+            self._probe = None
+            self.health = max(0, self.health - 1)
+
+    def merge(self, updates: Iterable[Update], now: float) -> Said:
+        """Take a full state. A death that is news here is told to whom it concerns before it is believed."""
+        for said in updates:
+            member = self.table.members.get(said.place)
+            hearsay = State.ALIVE < said.state < State.LEFT
+            if hearsay and member is not None and member.here and said.beats(member.said):
+                self._tells.append(said)
+            elif member is not None and member.said.state is State.DEAD and said.place != self.own.place and (
+                    not said.state and said.incarnation <= member.said.incarnation):
+                self._tells.append(member.said)  # live over there, dead here: if it lives, it will say so
+            else:
+                self._learn(said, now)
+        return self._took()
+
+    def quiet(self) -> None:
+        """Take all news for told: everyone knows it from elsewhere."""
+        self._news.clear()
+
+    # What operators and the node want
+
+    def leave(self) -> Said:
+        """Say that this member leaves; told to enough that it gets round, since nothing follows."""
+        self.own = replace(self.own, state=State.LEFT)
+        self._spread(self.own)
+        for to in self.table.some(FANOUT * 3):
+            self._said.out.append((to, Message(Kind.GOSSIP, self.own.place, updates=[self.own])))
+        return self._took()
+
+    def forget(self, place: str, now: float) -> Said | None:
+        """Have the fleet take a dead member for one that has left; None where it lives or is not known."""
+        member = self.table.members.get(place)
+        if member is None or member.here:
+            return None
+        self._learn(replace(member.said, state=State.LEFT, accuser=""), now)
+        return self._took()
--- a/reelusher/net.py
+++ b/reelusher/net.py
@@ -30,9 +30,9 @@
     return thread
 
 
-def connect(address: Address, timeout: float) -> socket.socket:
-    """Open a connection; the socket blocks."""
-    sock = socket.create_connection(address, timeout)
+def connect(address: Address, timeout: float, source: Address | None = None) -> socket.socket:
+    """Open a connection, from an address where one is named; the socket blocks."""
+    sock = socket.create_connection(address, timeout, source)
     sock.settimeout(None)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -32,6 +32,7 @@
 
 if TYPE_CHECKING:
     from reelusher.admin.api import AdminApi
+    from reelusher.fleet.membership.service import Membership
     from reelusher.tenancy.durable.keys import KeyLog
     from reelusher.tenancy.shares import Shares
     from reelusher.upgrade.claims import Claims
@@ -102,6 +103,7 @@
         if told and told.folder:
             self._share(told.name, Path(told.folder))
         self.admin: AdminApi | None = None
+        self.fleet: Membership | None = None
         self._key_log: KeyLog | None = None
         if own:
             self._set_up(own)
@@ -141,9 +143,12 @@
         if own.ajp:
             self.fronts["ajp"] = AjpFront(
                 self.core, replace(own.ajp, max_connections=self._most_ajp()), tenants)
+        if own.fleet:
+            from reelusher.fleet.membership.service import Membership
+            self.fleet = Membership(own.fleet, self.config.name, self._spread("fleet"), self.counters)
         if own.admin:
             self.admin = AdminApi(own.admin, Parts(self.core, tenants, kept, self._pool, self.status,
-                                                   self.ask_to_leave))
+                                                   self.ask_to_leave, self.fleet))
 
     def _spread(self, what: str) -> Random:
         """Return what spreads one thing that is repeated in time, for each node in its own way."""
@@ -197,6 +202,9 @@
             logger.info("{}: the administration API listens on {}:{}", self.config.name, *self.admin.address)
         if self.catalog:
             self.catalog.start()
+        if self.fleet:
+            self.fleet.start()
+            logger.info("{}: member of the fleet at {}:{}", self.config.name, *self.fleet.address)
 
     def _ready(self) -> bool:
         """Tell whether this process is ready to serve; from any thread."""
@@ -303,6 +311,8 @@
         logger.info("leaving: to be stopped in {:.0f} ms", span_s * 1000)
         if self.catalog:
             self.catalog.stop()
+        if self.fleet:
+            self.fleet.leave()
         lead(self.fronts.values(), self._order, self._late_s, self._asked_s, span_s, grace_s)
         left = self.core.attempts.owed
         logger.info("left after {:.0f} ms, {} unanswered", (time.monotonic() - self._asked_s) * 1000, left)
@@ -327,6 +337,8 @@
             self.admin.close()
         if self.catalog:
             self.catalog.stop()
+        if self.fleet:
+            self.fleet.close()
         if self.vault:
             self.vault.close()
         if self.runtime:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,305 @@
+"""Membership: what merges, who is found dead and who is not, what is refused, and real sockets."""
+
+import json
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reelusher.config import ConfigError
+from reelusher.config.operator import Fleet
+from reelusher.core.counters import Counters
+from reelusher.fleet.membership.messages import (
+    MOST_DATAGRAM, WINDOW, Kind, Message, Refused, Seal, Senders, State, StateReply, Update)
+from reelusher.fleet.membership.service import Membership, read_secret
+from reelusher.fleet.membership.swim import PERIOD_S, Swim
+from reelusher.fleet.membership.table import Table
+from reelusher.lab.fleet.members import Members, apart, time_to_heal, time_to_know
+
+SECRET = b"a secret of sixteen or more"
+
+
+def said(number: int, incarnation: int = 1, state: State = State.ALIVE, accuser: str = "") -> Update:
+    return Update(f"127.0.0.1:{number}", f"n{number}", "z", "r", incarnation, state, accuser)
+
+
+UPDATES = st.builds(said, st.integers(1, 3), st.integers(0, 3), st.sampled_from(State))
+
+
+# What merges
+
+
+@given(st.lists(UPDATES, max_size=30), st.randoms(use_true_random=False))
+def test_what_is_known_is_the_same_in_whatever_order_and_however_often_it_is_heard(
+        updates: list[Update], shuffled: Any) -> None:
+    def known(order: list[Update]) -> dict[str, tuple[int, State]]:
+        table = Table(Random(1))
+        for one in order:
+            table.take(one, 0.0)
+        return {place: (one.said.incarnation, one.said.state) for place, one in table.members.items()}
+
+    other = updates + updates[:5]
+    shuffled.shuffle(other)
+    assert known(updates) == known(other)
+
+
+@given(st.lists(st.tuples(st.integers(1, 3), st.integers(0, 3 * WINDOW)), max_size=200))
+def test_a_number_counts_once_and_one_that_is_too_old_not_at_all(came: list[tuple[int, int]]) -> None:
+    senders, taken = Senders(), set[tuple[int, int]]()
+    for life, number in came:
+        top = max(taken, default=(0, 0))
+        if senders.take("x", life, number):
+            assert (life, number) not in taken and life >= top[0]
+            assert life > top[0] or number > top[1] - WINDOW
+            taken.add((life, number))
+
+
+def test_a_member_that_hears_that_it_is_dead_says_otherwise_and_one_that_left_does_not() -> None:
+    swim = Swim(said(1), Random(1), 0.0)
+    swim.receive(Message(Kind.GOSSIP, "127.0.0.1:2", updates=[said(1, 5, State.DEAD)]), 0.1)
+    assert swim.own.incarnation == 6 and swim.health == 1
+    swim.leave()
+    swim.receive(Message(Kind.GOSSIP, "127.0.0.1:2", updates=[said(1, 9, State.DEAD)]), 0.2)
+    assert (swim.own.incarnation, swim.own.state) == (6, State.LEFT)
+
+
+def test_a_full_state_makes_nobody_dead_who_lives_here_but_tells_whom_it_concerns() -> None:
+    swim = Swim(said(1), Random(1), 0.0)
+    swim.merge([said(2), said(3)], 0.0)
+    swim.merge([said(2, 1, State.DEAD), said(4, 1, State.DEAD)], 0.1)
+    states = {place[-1]: member.said.state for place, member in swim.table.members.items()}
+    assert states == {"2": State.ALIVE, "3": State.ALIVE, "4": State.DEAD}
+    told = [message.updates for place, message in swim.tick(0.5).out if place == "127.0.0.1:2"]
+    assert [said(2, 1, State.DEAD)] in told
+
+
+# On a virtual clock
+
+
+def test_no_live_member_is_held_for_dead_while_a_tenth_of_all_datagrams_is_lost() -> None:
+    fleet = Members(6)
+    fleet.loss = 0.1
+    fleet.run(10_000 * PERIOD_S)
+    assert fleet.deaths == 0 and fleet.agreed()
+
+
+def test_duplicates_and_loss_change_nothing_about_who_is_known_dead() -> None:
+    fleet = Members(16, 3)
+    fleet.loss, fleet.twice = 0.2, 0.3
+    fleet.run(5)
+    victim = list(fleet.swims)[4]
+    fleet.kill(victim)
+    assert fleet.until(lambda: fleet.holding_dead(victim) == 15, 20) < 10
+    assert fleet.until(fleet.agreed, 20) < 20
+
+
+@pytest.mark.parametrize(("size", "most"), [(2, 6.0), (3, 5.0), (16, 4.0), (60, 4.0)])
+def test_a_death_is_known_to_all_but_one_in_a_hundred_soon(size: int, most: float) -> None:
+    assert max(time_to_know(size, seed) for seed in range(3)) < most
+
+
+@pytest.mark.parametrize(("size", "most"), [(8, 15), (32, 25), (64, 30)])
+def test_two_halves_that_were_cut_apart_agree_within_rounds_that_grow_slowly(size: int, most: int) -> None:
+    assert time_to_heal(size, 2) / PERIOD_S < most
+
+
+def test_one_that_stood_still_blames_nobody_and_is_back_at_once() -> None:
+    fleet = Members(30, 4)
+    fleet.run(3)
+    still = list(fleet.swims)[7]
+    fleet.stand_still(still, True)
+    fleet.run(5)
+    assert fleet.holding_dead(still) == 29
+    deaths = fleet.deaths
+    fleet.stand_still(still, False)
+    assert fleet.until(fleet.agreed, 10) < 3
+    assert fleet.deaths == deaths and fleet.swims[still].stalls == 1
+
+
+def test_a_node_that_hears_nobody_suspects_its_own_health_and_probes_more_rarely() -> None:
+    fleet = Members(16, 6)
+    deaf = list(fleet.swims)[3]
+    fleet.cut = apart({deaf})
+    fleet.run(5)
+    assert fleet.swims[deaf].health > 0
+    assert fleet.swims[list(fleet.swims)[0]].health == 0
+
+
+def test_a_name_that_is_back_at_another_place_wins_and_two_that_live_are_both_kept() -> None:
+    fleet = Members(8, 2)
+    fleet.run(2)
+    old = list(fleet.swims)[2]
+    fleet.kill(old)
+    fleet.run(8)
+    fleet.swims.pop(old)
+    new = fleet.add(500, life=2)
+    fleet.swims[new].own = Update(new, "n2", "z", "r", 2, State.ALIVE)
+    fleet.exchange(new, next(iter(fleet.swims)))
+    assert fleet.until(fleet.agreed, 10) < 5
+    table = fleet.swims[next(iter(fleet.swims))].table
+    assert table.namesakes() == {}
+    again = fleet.add(501, life=3)
+    fleet.swims[again].own = Update(again, "n2", "z", "r", 3, State.ALIVE)
+    fleet.exchange(again, next(iter(fleet.swims)))
+    assert fleet.until(fleet.agreed, 10) < 5
+    assert table.namesakes() == {"n2": sorted([new, again])}
+
+
+def test_what_each_sends_at_rest_does_not_grow_with_the_fleet() -> None:
+    each = []
+    for size in (10, 80):
+        fleet = Members(size, 1)
+        fleet.run(4)
+        sent = fleet.sent
+        fleet.run(5)
+        each.append((fleet.sent - sent) / size / 5)
+    assert each[1] < 1.2 * each[0] < 8
+
+
+def test_hundreds_that_know_one_seed_each_are_all_known_without_a_step_that_all_take_together() -> None:
+    fleet = Members(60, 1, joined=False)
+    seeds = list(fleet.swims)[:3]
+    for number, place in enumerate(fleet.swims):
+        if place not in seeds:
+            fleet.line.call_later(number / 60, fleet.exchange, place, seeds[number % 3])
+    fleet.exchange(seeds[0], seeds[1])
+    fleet.exchange(seeds[1], seeds[2])
+    assert fleet.until(fleet.agreed, 20) < 5
+
+
+# What is refused
+
+
+def seal(place: str = "127.0.0.1:1", secret: bytes = SECRET, fleet: str = "f", life: int = 1) -> Seal:
+    return Seal(secret, fleet, place, life)
+
+
+@pytest.mark.parametrize(("spoil", "why"), [
+    (lambda data: data[:-1], "forged"), (lambda data: data[:10], "cut"), (lambda data: b"", "cut"),
+    (lambda data: data[:-1] + bytes([data[-1] ^ 1]), "forged"),
+    (lambda data: data + b"\0" * MOST_DATAGRAM, "oversized"),
+    (lambda data: seal(secret=b"another secret of theirs").close(Message(Kind.PING, "x")), "forged"),
+    (lambda data: seal(fleet="g").close(Message(Kind.PING, "x")), "other_fleet"),
+    (lambda data: seal().close([1, 2, 3]), "malformed"),
+    (lambda data: seal().close([0, "x", 0, "", [["place", "n", "z", "r", 1, 9]]]), "malformed"),
+    (lambda data: data, "replayed")])
+def test_what_is_not_of_this_fleet_or_comes_twice_is_refused(spoil: Callable[[bytes], bytes], why: str
+                                                             ) -> None:
+    here = seal("127.0.0.1:9")
+    data = seal().close(Message(Kind.PING, "127.0.0.1:1", 7))
+    assert here.open(data, Message)[1].seq == 7
+    with pytest.raises(Refused, match=why):
+        here.open(spoil(data), Message)
+
+
+@given(st.binary(max_size=2000))
+@settings(max_examples=200)
+def test_no_bytes_do_more_than_be_refused(data: bytes) -> None:
+    with pytest.raises(Refused):
+        seal().open(data, Message)
+
+
+def test_another_version_is_refused_though_its_digest_is_right() -> None:
+    one = seal()
+    inner = b"\x02" + one.close(Message(Kind.PING, "x"))[17:]
+    with pytest.raises(Refused, match="version"):
+        seal("127.0.0.1:9").open(one._digest(inner) + inner, Message)
+
+
+def test_a_secret_that_is_missing_or_short_is_named(tmp_path: Path) -> None:
+    (tmp_path / "short").write_text("short\n")
+    for name in ("none", "short"):
+        with pytest.raises(ConfigError) as caught:
+            read_secret(str(tmp_path / name))
+        assert caught.value.key == "fleet.secret_file"
+
+
+# On sockets
+
+
+def soon(holds: Callable[[], object], most_s: float = 20.0) -> bool:
+    until = time.monotonic() + most_s
+    while not holds() and time.monotonic() < until:
+        time.sleep(0.02)
+    return bool(holds())
+
+
+@pytest.fixture
+def start(tmp_path: Path) -> Iterator[Callable[..., Membership]]:
+    made: list[Membership] = []
+    (tmp_path / "secret").write_bytes(SECRET)
+    (tmp_path / "other").write_bytes(SECRET + b"!")
+
+    def make(name: str, seeds: list[Membership], secret: str = "secret") -> Membership:
+        at = "127.0.0.1", 0
+        one = Membership(Fleet("f", at, at, tuple(seed.address for seed in seeds), "z", "r",
+                               str(tmp_path / secret)), name, Random(name), Counters())
+        made.append(one)
+        one.start()
+        return one
+
+    yield make
+    for one in made:
+        one.close()
+
+
+def names(one: Membership) -> list[str]:
+    return sorted(member.name for member in one.live())
+
+
+def test_nodes_join_through_a_seed_leave_and_are_found_dead(start: Callable[..., Membership]) -> None:
+    first = start("a", [])
+    others = [start(name, [first]) for name in "bcde"]
+    fleet = [first, *others]
+    assert soon(lambda: all(names(one) == list("abcde") for one in fleet))
+    others[3].leave()
+    assert soon(lambda: all(names(one) == list("abcd") for one in fleet[:4]))
+    others[2].close()  # without a word
+    assert soon(lambda: all(names(one) == list("abc") for one in fleet[:3]))
+    states = {member["name"]: member["state"] for member in first.status()["members"]}
+    assert states == {"b": "alive", "c": "alive", "d": "dead", "e": "left"}
+    assert first.forget("b") is False and first.forget("x") is None and first.forget("d") is True
+    assert soon(lambda: {"d": "left"}.items() <= {
+        member["name"]: member["state"] for member in others[0].status()["members"]}.items())
+    json.dumps(first.status())
+
+
+def test_a_node_with_another_secret_is_not_heard_and_harms_no_one(start: Callable[..., Membership]) -> None:
+    first = start("a", [])
+    stranger, friend = start("x", [first], "other"), start("b", [first])
+    assert soon(lambda: names(friend) == ["a", "b"])
+    assert names(stranger) == ["x"] and not stranger.status()["own"]["joined"]
+    assert first._counters.snapshot()["fleet.refused_forged"] > 0
+
+
+def test_two_live_nodes_of_one_name_are_reported_and_both_kept(start: Callable[..., Membership]) -> None:
+    first = start("a", [])
+    start("b", [first])
+    start("b", [first])
+    assert soon(lambda: names(first) == ["a", "b", "b"])
+    assert len(first.status()["namesakes"]["b"]) == 2
+    assert soon(lambda: "fleet.namesakes" in first._counters.snapshot())
+
+
+def test_seeds_that_are_dead_leave_a_node_alone_until_one_is_there(start: Callable[..., Membership]) -> None:
+    gone = start("s", [])
+    gone.close()
+    alone = start("a", [gone])
+    assert soon(lambda: alone._counters.snapshot().get("fleet.unjoined", 0) > 1)
+    assert names(alone) == ["a"] and not alone.status()["own"]["joined"]
+
+
+def test_a_member_gives_so_many_full_states_and_sends_others_on(start: Callable[..., Membership]) -> None:
+    first = start("a", [])
+    start("b", [first])
+    assert soon(lambda: names(first) == ["a", "b"])
+    asker = start("c", [first])
+    assert soon(lambda: asker.status()["own"]["joined"])
+    replies: list[StateReply | None] = [asker._exchange("{}:{}".format(*first.address)) for _ in range(40)]
+    given = [reply for reply in replies if reply and not reply.instead]
+    assert 0 < len(given) < 30 and all(reply is not None for reply in replies)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -128,6 +128,7 @@
 OPERATOR: dict[str, Any] = {
     "ajp": {"listen": "127.0.0.1:0"}, "admin": {"listen": "127.0.0.1:0", "token": scenario.TOKEN},
     "classes": [{"name": "book", "effect": "keyed", "deadline_ms": 5000, "window_ms": 9000}],
+    "fleet": {"listen": "127.0.0.1:0", "secret_file": "secret", "seeds": ["127.0.0.1:7946"]},
     "workers": [{"name": "w1"}], "balancers": [{"name": "b", "members": ["w1"]}],
     "tenants": [{"name": "t", "backend": "b", "routes": [{"class": "book"}]}]}
 
@@ -143,6 +144,9 @@
     ("balancers.0.members", ["w9"], r"balancers\[0\].members"), ("balancers.0.name", "w1", "workers"),
     ("tenants.0.backend", "w9", r"tenants\[0\].backend"), ("tenants.0.name", "a b", r"tenants\[0\].name"),
     ("tenants.0.routes.0.class", "none", r"tenants\[0\].routes\[0\].class"),
+    ("fleet.listen", "localhost:7946", "fleet.listen"), ("fleet.seeds", ["there"], r"fleet.seeds\[0\]"),
+    ("fleet.secret_file", None, "fleet.secret_file"), ("fleet.zone", "z" * 65, "fleet.zone"),
+    ("fleet.bogus", 1, "fleet.bogus"), ("fleet.advertise", "there:1", "fleet.advertise"),
     ("tenants.0.prefix", "x", r"tenants\[0\].prefix"), ("bogus", 1, "bogus"), ("node.seed", "g", "node.seed"),
 ])
 def test_a_fault_in_the_operators_file_is_named(path: str, value: Any, named: str) -> None:
