Tell operators the runs handed over as one number, as their page wants

Cause: figures.py gave forwards by class, like the three counts beside it; the page has it as a number.

--- a/reelusher/core/figures.py
+++ b/reelusher/core/figures.py
@@ -15,9 +15,8 @@
     def __init__(self, class_names: list[str]) -> None:
         self._lock = threading.Lock()
         self._names: list[str] = []
-        self._counts: dict[str, Counter[str]] = {
-            word: Counter() for word in (*WORDS.values(), "forwards")}
-        self._taken = self._ended = 0
+        self._counts: dict[str, Counter[str]] = {word: Counter() for word in WORDS.values()}
+        self._taken = self._ended = self._forwards = 0
         self._reloads = {"sighup_applied": 0, "sighup_rejected": 0}
         self.know(class_names)
 
@@ -39,10 +38,10 @@
             self._ended += 1
             self._counts[WORDS[verdict]][class_name] += 1
 
-    def forwarded(self, class_name: str) -> None:
+    def forwarded(self) -> None:
         """Count a run that is handed to what runs it."""
         with self._lock:
-            self._counts["forwards"][class_name] += 1
+            self._forwards += 1
 
     def reloaded(self, taken_up: bool) -> None:
         """Count a file that was read at SIGHUP."""
@@ -53,4 +52,4 @@
         """Return all of it, as operators are told."""
         with self._lock:
             return {**{word: dict(counts) for word, counts in self._counts.items()},
-                    "outstanding": self._taken - self._ended, **self._reloads}
+                    "forwards": self._forwards, "outstanding": self._taken - self._ended, **self._reloads}
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -418,7 +418,7 @@
 
     def _start(self, attempt: Attempt) -> None:
         self.counters.add("runs.started")
-        self.figures.forwarded(self.class_names[attempt.request.kind])
+        self.figures.forwarded()
         attempt.runner.start(attempt.request, self.class_names[attempt.request.kind])
 
     def _key_kept(self, message: KeyKept) -> None:
