Start rig nodes as members of one fleet, and take a census of whom each counts as live

Change: nodes.fleet in a plan gives each process [fleet] and an administration address; datagrams and full states go through relays that know each party by its loopback address; a census asks nodes for /v1/fleet in a thread of its own.

--- a/reelusher/fleet/membership/swim.py
+++ b/reelusher/fleet/membership/swim.py
@@ -27,7 +27,8 @@
 SUSPECT_S = 0.5  # the shortest time of a suspicion, to which comes
 SUSPECT_LOG_S = 0.05  # so much for each doubling of the fleet: news of it must get there and back
 SUSPECT_MOST = 3.0  # times the shortest: with no accuser beside the first
-HEALTH_MOST = 8  # the worst local health: probes are up to so many times slower
+HEALTH_MOST = 3  # the worst local health: probes are up to so many times slower, and one; more than that
+#                  and the few on one side of a cut would take half a minute to find out who is left
 STALL_S = 2 * PERIOD_S  # the node itself stood still: it has nobody to blame for that time
 LAST_CALL_S = 0.2  # an accuser waits so long for the answer to its last call
 UNHEARD_S = 2 * PERIOD_S  # so long does a helper that heard nothing join a suspicion
--- a/reelusher/lab/fleet/account.py
+++ b/reelusher/lab/fleet/account.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from reelusher.lab.fleet.census import Census
 from reelusher.lab.fleet.plan import Kind, Plan
 
 SLACK_S = 0.08 + 0.05  # of an answer: by the settings, and what sockets are granted
@@ -68,6 +69,7 @@
         self.lives: dict[str, float] = {}  # when nodes' former lives ended
         self.start_s = 0.0  # when the nodes were started
         self.counts: Counter[str] = Counter()
+        self.census: Census | None = None  # of a fleet, by a live rig
 
     # What happens
 
--- a/reelusher/lab/fleet/plan.py
+++ b/reelusher/lab/fleet/plan.py
@@ -95,6 +95,8 @@
     cold_s: float = bounded(10.0, 0.1)
     starts_cold: bool = False  # also at the start of the run; after that a node that starts is cold
     stop_ms: int = bounded(4000, 500)
+    fleet: bool = False  # they are members of one fleet
+    seeds: int = bounded(3, 1)  # of them, that all others join through
 
 
 @dataclass(slots=True, frozen=True)
--- a/reelusher/lab/fleet/relay.py
+++ b/reelusher/lab/fleet/relay.py
@@ -209,6 +209,19 @@
             self.transport.sendto(data, self.place)
 
 
+class Door(asyncio.Protocol):
+    """A connection to one party from whoever its address says; it becomes a pair of the link between them."""
+
+    def __init__(self, net: "Net", target: str, place: Address) -> None:
+        self.net, self.target, self.place = net, target, place
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        source = self.net.party_of.get(transport.get_extra_info("peername")[0], "")
+        pair = Pair(self.net, self.net.link(source, self.target, self.place))
+        cast(asyncio.Transport, transport).set_protocol(pair.near)
+        pair.near.connection_made(transport)
+
+
 class Net:
     """All links of a run."""
 
@@ -247,10 +260,15 @@
             door = self._doors[source, target] = server.sockets[0].getsockname()
         return door
 
-    async def inlet(self, target: str, place: Address) -> Address:
-        """Return where datagrams to `target` at `place` are to be sent."""
-        made, inlet = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: Inlet(self, target, place), (HOST, 0))
+    async def inlet(self, target: str, place: Address, streams: bool = False) -> Address:
+        """Return where datagrams to `target` at `place` are to be sent, and connections too for `streams`."""
+        loop = asyncio.get_running_loop()
+        port = 0
+        if streams:
+            server = await loop.create_server(lambda: Door(self, target, place), HOST, 0)
+            self._open.append(server)
+            port = server.sockets[0].getsockname()[1]
+        made, inlet = await loop.create_datagram_endpoint(lambda: Inlet(self, target, place), (HOST, port))
         self._open.append(made)
         found: Address = inlet.transport.get_extra_info("sockname") if inlet.transport else (HOST, 0)
         return found
--- a/reelusher/lab/fleet/rig.py
+++ b/reelusher/lab/fleet/rig.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import resource
 import signal
@@ -14,6 +15,7 @@
 
 from reelusher.config.table import Address
 from reelusher.lab.fleet.account import Account
+from reelusher.lab.fleet.census import Census
 from reelusher.lab.fleet.plan import Fault, Plan, check_room
 from reelusher.lab.fleet.processes import Processes
 from reelusher.lab.fleet.relay import Net
@@ -39,6 +41,7 @@
         self.loop = asyncio.get_running_loop()
         super().__init__(plan, self.loop)
         self.net, self.processes = Net(plan.run.seed), Processes(plan, folder)
+        self.census = Census(self.loop.time)
         self.hosts = {name: RuntimeHost(runtime) for name, runtime in self.runtimes.items()}
         self.places: dict[str, Address] = {}
         self.starved: dict[str, float] = {}  # the part of the time that a node runs for
@@ -55,6 +58,7 @@
         await self._wire()
         try:
             self.begin_nodes()
+            self.census.start()
             self._beat(self.loop.time())
             until = self.loop.time() + plan.run.wait_s
             while self.loop.time() < until and not self.all_seen():
@@ -66,11 +70,14 @@
             while self.loop.time() < until and not account.settled():
                 await asyncio.sleep(LOOK_S)
             account.close(self.loop.time())
+            self.census.stop(account.zero_s)  # from here on nodes leave
             await asyncio.gather(*(self._left(name) for name in self.places if self.processes.alive(name)))
             for name in self.places:
                 if any(word in self.processes.log(name) for word in FAULTS):
                     self.account.broken.append(f"{name} logged a fault")
         finally:
+            self.census.stop(account.zero_s)
+            account.census = self.census
             self.net.close()
             for server in self.servers:
                 server.close()
@@ -105,6 +112,26 @@
                     name, place, await self.net.through(name, mine, below[mine]),
                     await self.net.through(name, "list", listed),
                     await self.net.through(name, f"runtime.{name}", runtime))
+        if plan.nodes.fleet:
+            await self._join()
+
+    async def _join(self) -> None:
+        """Make all nodes members of one fleet, whose datagrams and states go through relays too."""
+        with contextlib.ExitStack() as stack:  # ports that are free at every node's own address
+            free = [stack.enter_context(socket.create_server(("127.1.1.1", 0))) for _ in range(2)]
+            fleet_port, admin_port = (sock.getsockname()[1] for sock in free)
+        doors = {name: await self.net.inlet(name, (place[0], fleet_port), streams=True)
+                 for name, place in self.places.items()}
+        by_zone: dict[str, list[str]] = {}
+        for name in self.places:
+            by_zone.setdefault(self.zone_of[name], []).append(name)
+        # the first of each zone, then the second of each
+        order = [name for row in itertools.zip_longest(*by_zone.values()) for name in row if name]
+        seeds = [doors[name] for name in order[:self.plan.nodes.seeds]]
+        for name, place in self.places.items():
+            self.census.places[name] = place[0], admin_port
+            self.processes.join(name, (place[0], fleet_port), doors[name], seeds, self.zone_of[name],
+                                (place[0], admin_port))
 
     # Faults
 
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -478,3 +479,51 @@
     for child in children:
         with pytest.raises(ProcessLookupError):
             os.kill(int(child), 0)
+
+
+# Nodes that are members of one fleet
+
+
+def member_plan(seconds: float, *faults: dict[str, Any], **nodes: Any) -> Plan:
+    zones = [{"name": zone, "nodes": 4, "callers": 1} for zone in "abc"]
+    return parse({"run": {"seconds": seconds, "rate": 20}, "classes": CLASSES, "zones": zones,
+                  "nodes": {"fleet": True, **nodes}, "faults": list(faults)})
+
+
+def nodes_of(*numbers: int) -> frozenset[str]:
+    return frozenset(f"n{number}" for number in numbers)
+
+
+A, B, C = nodes_of(1, 2, 3, 4), nodes_of(5, 6, 7, 8), nodes_of(9, 10, 11, 12)
+
+
+def test_a_fleet_that_is_cut_killed_and_stopped_knows_who_is_there_and_serves_on(tmp_path: Path) -> None:
+    cuts = [{"kind": "cut", "of": "nodes:a", "to": f"nodes:{zone}", "at_s": 0.5, "for_s": 6.5}
+            for zone in "bc"]
+    plan = member_plan(19, *cuts, {"kind": "kill", "of": "nodes:c", "at_s": 10, "for_s": 3.5},
+                       {"kind": "stop", "of": "node:n5", "at_s": 10, "for_s": 5})
+    account = play(plan, tmp_path)
+    assert account.broken == [] and account.figures()["served_worth"] > 0.5
+    census = account.census
+    assert census is not None
+    assert all(live == A | B | C for live in census.newest(0.4).values())
+    for name, live in census.newest(6.9).items():  # each side goes by what it has
+        assert live == (A if name in A else B | C), name
+    assert all(live == A | B | C for live in census.newest(9.9).values())  # and they are one again
+    for name, live in census.newest(13.4).items():
+        if name in A | B - {"n5"}:
+            assert live == A | B - {"n5"}, name
+    last = census.newest(plan.run.seconds)
+    assert all(live == A | B | C for live in last.values()) and len(last) == 12
+    # one that stood still blames nobody for it
+    assert all(live >= A | B for at_s, name, live in census.looks if name == "n5" and at_s > 15)
+
+
+def test_a_fleet_joins_while_datagrams_are_lost_and_doubled_and_the_list_is_away(tmp_path: Path) -> None:
+    bad = [{"kind": kind, "of": "nodes", "to": "nodes", "at_s": 0, "for_s": 7, "part": 0.2}
+           for kind in ("loss", "duplicate")]
+    plan = member_plan(8, *bad, {"kind": "outage", "of": "list", "at_s": 0, "for_s": 4})
+    account = play(replace(plan, run=replace(plan.run, wait_s=0.0)), tmp_path)
+    assert account.broken == [] and account.census is not None
+    joined_s = account.census.since(account.start_s, lambda name, live: live == A | B | C)
+    assert joined_s is not None and joined_s < 7
