--- a/reelusher/backends/workers.py
+++ b/reelusher/backends/workers.py
@@ -79,6 +79,7 @@
         self.probed = False  # that one is under way
         self.activation = config.activation
         self.busy = self.sent = self.errors = 0
+        self.seen_s = 0.0  # when a connection was last tried, Unix time
         self.debt = 0.0  # requests had, by factor
         self.down_until = 0.0
         self._idle: list[Channel] = []
@@ -121,8 +122,13 @@
 
     def failed(self) -> None:
         """Pass this worker by for a while: all that were under way at once count as one failure."""
+        self.seen_s = time.time()
+        self.errors += 1
+        self.pass_by()
+
+    def pass_by(self) -> None:
+        """Send nothing here for a while, then one request."""
         with self._lock:
-            self.errors += 1
             now = time.monotonic()
             if now >= self.down_until:
                 self.down_until, self.doubted = now + self._recover.next_s(), True
@@ -130,6 +136,7 @@
 
     def reached(self) -> None:
         """Note that a connection was made and proved to work."""
+        self.seen_s = time.time()
         if self.doubted:
             with self._lock:
                 self.doubted = self.probed = False
@@ -208,6 +215,19 @@
         member.reached()  # the operator's word goes before what was seen
         return True
 
+    def seen(self) -> dict[str, tuple[float, float]]:
+        """Return which workers are away, 1 or 0, and when that was seen."""
+        now = time.monotonic()
+        return {f"away:{name}": (float(now < member.down_until), member.seen_s)
+                for name, member in self.members.items() if member.seen_s}
+
+    def doubt(self, name: str) -> None:
+        """Pass a worker by at first that others can't reach, unless something was seen of it here."""
+        member = self.members.get(name)
+        if member is not None and not member.seen_s:
+            member.pass_by()  # what others told is not told on as seen here
+            self.counters.add("workers.doubted")
+
     def status(self) -> list[dict[str, Any]]:
         """Return what operators want to know of the workers."""
         return [member.status() for member in self.members.values()]
--- a/reelusher/choice.py
+++ b/reelusher/choice.py
@@ -14,8 +14,8 @@
 
 from reelusher.interface import (
     Action, Advise, Call, CallEnded, CallNeeded, CloseIdle, Decline, Drain, Effect, Event, Fail, Forget,
-    Gone, Halt, Health, Join, Keep, Outcome, Pause, Request, Run, RunEnded, Say, Settings, Skip, Standing,
-    Tick, Timer)
+    Gone, Halt, Health, Join, Keep, Learnt, Outcome, Pause, Request, Run, RunEnded, Say, Settings, Skip,
+    Standing, Tick, Timer)
 
 PERIOD_US = 100_000  # of the one timer: loop, cap, sweep; an answer is at most this late for its margin
 MARGIN_US = 60_000  # answers are given this long, a period and two ticks before they are due
@@ -122,7 +122,8 @@
         self.retune(settings, range(len(settings.classes)))
         self.react: dict[type, Callable[[Any], None]] = {
             Request: self._arrive, Gone: self._gone, CallNeeded: self._stand_at_call,
-            CallEnded: self._call_ended, RunEnded: self._run_ended, Drain: self._drain, Tick: self._period}
+            CallEnded: self._call_ended, RunEnded: self._run_ended, Drain: self._drain, Tick: self._period,
+            Learnt: self._learn}
 
     def retune(self, settings: Settings, current: Collection[int]) -> None:
         """Go by these settings from now on. Classes keep their numbers; those not `current` come no more."""
@@ -346,6 +347,13 @@
             self.ran_us[kind] += weight * (event.took_us - self.ran_us[kind])
             self.hints[kind] += weight * (hint - self.hints[kind])
 
+    def _learn(self, event: Learnt) -> None:
+        """Reckon with what others saw until something is seen here: a first run outweighs a hint of 1 us."""
+        for kind, pace in event.pace.items():
+            if not self.hints[kind]:
+                self.ran_us[kind], self.hints[kind] = pace, 1.0
+        self.call_us = self.call_us or event.call_us
+
     # Running
 
     def _move(self, work: Work, state: State | None) -> None:
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -31,6 +31,7 @@
 GUARD_US = 30_000  # part of the slack left to the guard that answers what the module has not
 STOP_GUARD_US = 150_000  # before the stop: all that is read is answered by then
 SWEEP_US = 1_000_000  # between sweeps of the table of keys
+CALLS = " calls"  # no class has this name
 MOST_CLASSES = 1000  # with all that were changed: a reload that brings more is turned down
 REARM_US = 100_000  # until the next tick where a fault has lost the module's timer
 
@@ -93,6 +94,7 @@
         self._ticks: dict[str, int] = {}  # cookies of ticks that wait for gauges, and their labels
         self._cookies = self._tickets = 0
         self._pace = Pace()
+        self._seen_s: dict[str, float] = {}  # when a run of a class, or a call, last ended well, Unix time
         self._armed = 0  # timers of the module that are set, or wait for their gauges
         self._handlers: dict[type, Callable[[Any], None]] = {
             Arrived: self._arrived, Left: self._left, RunOver: self._run_over, CallWanted: self._call_wanted,
@@ -216,6 +218,21 @@
         self._controller.retune(self.settings, numbers.values())
         return numbers
 
+    def seen(self) -> dict[str, tuple[float, float]]:
+        """Return what runs and calls take here, by what it is about, and when that was seen; by the owner."""
+        made, found = self._controller, {}
+        for kind, (name, hint) in enumerate(zip(self.class_names, made.hints, strict=True)):
+            if hint > 0 and name in self._seen_s:
+                found[f"run:{name}"] = made.ran_us[kind] / hint, self._seen_s[name]
+        if made.call_us and CALLS in self._seen_s:
+            found["call:below"] = made.call_us, self._seen_s[CALLS]
+        return found
+
+    def learn(self, pace: dict[str, float], call_us: float) -> None:
+        """Take what others have seen, by the names of classes; called by the owner."""
+        known = {kind: pace[name] for kind, name in enumerate(self.class_names) if name in pace}
+        self._events.append(io.Learnt(known, call_us))
+
     def late_s(self) -> float:
         """Return by how many seconds the owner's timers are late at present; from any thread."""
         return self._pace.late_s(self.clock.now() / 1e6)
@@ -306,6 +323,8 @@
             dropped = self.keys.store(entry, message.result)
             if dropped:
                 self.counters.add("keys.results_dropped", dropped)
+        if message.outcome is io.Outcome.OK and not attempt.waits:
+            self._seen_s[self.class_names[attempt.request.kind]] = self.now / 1e6
         if not attempt.answered:
             served = message.outcome is io.Outcome.OK and message.result is not None
             never = message.outcome is io.Outcome.MOOT  # proved never to have started
@@ -335,6 +354,7 @@
             return
         self.counters.add("calls." + message.outcome.value)
         if message.outcome is io.Outcome.OK:
+            self._seen_s[CALLS] = self.now / 1e6
             attempt.runner.give(message.call, message.body)
             attempt.stage = Stage.RUNNING
         else:
--- a/reelusher/fleet/membership/messages.py
+++ b/reelusher/fleet/membership/messages.py
@@ -3,7 +3,7 @@
 import hmac
 from enum import IntEnum
 from hashlib import blake2b
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any
 
 import msgspec
 
@@ -18,7 +18,6 @@
 Name = Annotated[str, msgspec.Meta(max_length=64)]
 Place = Annotated[str, msgspec.Meta(max_length=64)]  # HOST:PORT, the key of a member
 Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
-T = TypeVar("T")
 
 
 class State(IntEnum):
@@ -66,7 +65,7 @@
     updates: Annotated[list[Update], msgspec.Meta(max_length=64)] = []
 
 
-class StateRequest(msgspec.Struct, array_like=True, frozen=True):
+class StateRequest(msgspec.Struct, array_like=True, frozen=True, tag="state"):
     """Asks for all that a member knows, and says what the asker knows."""
 
     sender: Place
@@ -80,6 +79,27 @@
     instead: list[Place] = []
 
 
+class Fact(msgspec.Struct, array_like=True, frozen=True):
+    """Something that a node has seen: `run:CLASS`, `call:below` or `away:WORKER`, see `learning.facts`."""
+
+    about: Annotated[str, msgspec.Meta(max_length=160)]
+    value: float
+    seen_s: float  # Unix time
+
+
+class FactsRequest(msgspec.Struct, array_like=True, frozen=True, tag="facts"):
+    """Asks for what a member has seen."""
+
+    sender: Place
+
+
+class FactsReply(msgspec.Struct, array_like=True, frozen=True):
+    """What a member has seen; one that is cold itself tells nothing."""
+
+    warm: bool
+    facts: list[Fact]
+
+
 class Refused(Exception):
     """What came is not taken; the text is a word for the counters."""
 
@@ -144,7 +164,7 @@
         inner = bytes([VERSION]) + inner
         return self._digest(inner) + inner
 
-    def open(self, data: bytes, kind: type[T], most: int = MOST_DATAGRAM) -> tuple[str, T]:
+    def open(self, data: bytes, kind: Any, most: int = MOST_DATAGRAM) -> tuple[str, Any]:
         """Return who sealed it and what it says; raise `Refused` with the reason."""
         if len(data) > most:
             raise Refused("oversized")
@@ -159,7 +179,7 @@
             envelope = self._envelopes.decode(inner[1:])
             if kind not in self._decoders:
                 self._decoders[kind] = msgspec.msgpack.Decoder(kind)
-            body: T = self._decoders[kind].decode(envelope.body)
+            body = self._decoders[kind].decode(envelope.body)
         except msgspec.MsgspecError:
             raise Refused("malformed") from None
         if envelope.fleet != self._fleet:
--- a/reelusher/fleet/membership/service.py
+++ b/reelusher/fleet/membership/service.py
@@ -16,7 +16,8 @@
 from reelusher.config.table import Address, ConfigError, address_of
 from reelusher.core.counters import Counters
 from reelusher.fleet.membership.messages import (
-    LEAST_SECRET, MOST_DATAGRAM, MOST_STATE, Message, Refused, Seal, State, StateReply, StateRequest, Update)
+    LEAST_SECRET, MOST_DATAGRAM, MOST_STATE, FactsReply, FactsRequest, Message, Refused, Seal, State,
+    StateReply, StateRequest, Update)
 from reelusher.fleet.membership.swim import Said, Swim
 from reelusher.fleet.membership.table import Change
 from reelusher.net import Listener, connect, spawn
@@ -32,6 +33,7 @@
 LOG_S = 1.0  # at most one line about changes in so long
 LOG_NAMES = 5  # named in it
 DROP_S = 60.0  # between looks for those that have been gone for long
+PORT_TRIES = 20
 RECEIVE = 1 << 16
 T = TypeVar("T")
 
@@ -72,12 +74,10 @@
         life = int(time.time() * 1000)
         place = "{}:{}".format(*config.advertise)
         self._seeds = [seed for seed in (f"{host}:{port}" for host, port in config.seeds) if seed != place]
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._sock.bind(config.listen)
+        self._sock, self._listener = self._bound(config.listen)
         self.address: Address = self._sock.getsockname()
         if not config.advertise[1]:
             place = "{}:{}".format(*self.address)
-        self._listener = Listener("fleet", self.address, counters, self._serve, self._admit)
         now = time.monotonic()
         self._swim = Swim(Update(place, name, config.zone, config.region, life, State.ALIVE), random, now)
         self._seal = Seal(read_secret(config.secret_file), config.name, place, life)
@@ -86,12 +86,26 @@
         self._askers = 0
         self._stop = threading.Event()
         self._poke = threading.Event()  # there is someone to exchange states with
-        self._joined = not self._seeds
+        self.joined = not self._seeds
         self._since: Counter[str] = Counter()  # changes that were not logged yet
         self._names: list[str] = []
         self._logged_s = self._dropped_s = now
+        self.facts: Callable[[], FactsReply] = lambda: FactsReply(False, [])  # what this node has seen
         self.on_change: Callable[[list[Change]], None] = lambda changes: None  # must not wait
 
+    def _bound(self, address: Address) -> tuple[socket.socket, Listener]:
+        """Take an address for datagrams and connections; of port 0, one that is free for both."""
+        for left in reversed(range(1 if address[1] else PORT_TRIES)):
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            try:
+                sock.bind(address)
+                return sock, Listener("fleet", sock.getsockname(), self._counters, self._serve, self._admit)
+            except OSError:
+                sock.close()
+                if not left:
+                    raise
+        raise AssertionError("unreachable")
+
     # From any thread
 
     def start(self) -> None:
@@ -124,7 +138,7 @@
         with self._lock:
             swim = self._swim
             members = [_told(member.said, now - member.since_s) for member in swim.table.members.values()]
-            own, health, size, joined = swim.own, swim.health, swim.size(), self._joined
+            own, health, size, joined = swim.own, swim.health, swim.size(), self.joined
             namesakes = self._namesakes()
         return {"fleet": self._config.name, "own": _told(own, None) | {"health": health, "joined": joined},
                 "live": size, "namesakes": namesakes,
@@ -171,7 +185,7 @@
     def _take(self, data: bytes) -> None:
         now = time.monotonic()
         with self._lock:
-            message = self._open(data, Message, MOST_DATAGRAM)
+            message: Message | None = self._open(data, Message, MOST_DATAGRAM)
             if message is None or message.sender == self._swim.own.place:
                 return
             said = self._swim.receive(message, now)
@@ -180,7 +194,7 @@
         self._counters.add("fleet.received")
         self._carry_out(said)
 
-    def _open(self, data: bytes, kind: type[T], most: int) -> T | None:
+    def _open(self, data: bytes, kind: Any, most: int) -> Any:
         """Open what came; what is refused is counted and never answered."""
         try:
             return self._seal.open(data, kind, most)[1]
@@ -252,18 +266,12 @@
                 data = _read_frame(sock)
                 now = time.monotonic()
                 with self._lock:
-                    asked = self._open(data, StateRequest, MOST_STATE)
-                    if asked is None:
-                        return
-                    said = self._swim.merge(asked.updates, now)
-                    if self._states.take(now):
-                        reply = StateReply(self._swim.state())
-                        self._counters.add("fleet.states_given")
-                    else:
-                        reply = StateReply([self._swim.own], self._swim.table.some(INSTEAD, asked.sender))
-                        self._counters.add("fleet.states_denied")
+                    asked = self._open(data, StateRequest | FactsRequest, MOST_STATE)
+                if asked is None:
+                    return
+                reply: Any = self.facts() if isinstance(asked, FactsRequest) else self._state_for(asked, now)
+                with self._lock:
                     sealed = self._seal.close(reply)
-                self._carry_out(said)
                 sock.sendall(_framed(sealed))
         except OSError as error:
             logger.debug("fleet: {}", error)
@@ -271,12 +279,35 @@
             with self._lock:
                 self._askers -= 1
 
+    def _state_for(self, asked: StateRequest, now: float) -> StateReply:
+        """Take an asker's state and return what it gets."""
+        with self._lock:
+            said = self._swim.merge(asked.updates, now)
+            gives = self._states.take(now)
+            reply = StateReply(self._swim.state()) if gives else StateReply(
+                [self._swim.own], self._swim.table.some(INSTEAD, asked.sender))
+        self._counters.add("fleet.states_given" if gives else "fleet.states_denied")
+        self._carry_out(said)
+        return reply
+
     def _exchange(self, place: str) -> StateReply | None:
         """Exchange full states with a member; None where it can't be reached or does not answer."""
         with self._lock:
             # one that joins tells of itself only: what others know of it, they have from its life before
-            updates = self._swim.state() if self._joined else [self._swim.own]
-            data = self._seal.close(StateRequest(self._swim.own.place, updates))
+            updates = self._swim.state() if self.joined else [self._swim.own]
+            request = StateRequest(self._swim.own.place, updates)
+        now = time.monotonic()
+        reply = self.ask(place, request, StateReply)
+        if reply is not None:
+            with self._lock:
+                said = self._swim.merge(reply.updates, now)
+            self._carry_out(said)
+        return reply
+
+    def ask(self, place: str, request: Any, kind: type[T]) -> T | None:
+        """Ask a member over TCP; None where it can't be reached or does not answer in time."""
+        with self._lock:
+            data = self._seal.close(request)
         try:
             # from its own address, by which others may tell who comes
             source = (self.address[0], 0)
@@ -285,25 +316,22 @@
                 sock.sendall(_framed(data))
                 answer = _read_frame(sock)
         except (OSError, ConfigError) as error:
-            logger.debug("fleet: no full state of {}: {}", place, error)
+            logger.debug("fleet: no answer of {}: {}", place, error)
             return None
-        now = time.monotonic()
         with self._lock:
-            reply = self._open(answer, StateReply, MOST_STATE)
-            said = self._swim.merge(reply.updates, now) if reply else None
-        self._carry_out(said)
+            reply: T | None = self._open(answer, kind, MOST_STATE)
         return reply
 
     def _sync(self) -> None:
         """Join, then exchange full states now and then, and with whoever turned out to live after all."""
         backoff = Backoff(self._random, JOIN_BASE_S, JOIN_CAP_S)
         instead: list[str] = []
-        while not self._joined and not self._stop.is_set():
+        while not self.joined and not self._stop.is_set():
             asked = self._random.choice(instead or self._seeds)
             reply = self._exchange(asked)
             instead = reply.instead if reply else []
             if reply and not reply.instead:
-                self._joined = True
+                self.joined = True
                 logger.info("fleet: joined through {}, {} live", asked, len(self.live()))
             elif reply:
                 self._stop.wait(self._random.uniform(0.05, JOIN_BASE_S))
--- a/reelusher/fleet/membership/swim.py
+++ b/reelusher/fleet/membership/swim.py
@@ -27,7 +27,7 @@
 SUSPECT_S = 0.5  # the shortest time of a suspicion, to which comes
 SUSPECT_LOG_S = 0.05  # so much for each doubling of the fleet: news of it must get there and back
 SUSPECT_MOST = 3.0  # times the shortest: with no accuser beside the first
-HEALTH_MOST = 3  # the worst local health: probes are up to so many times slower, and one; more than that
+HEALTH_MOST = 2  # the worst local health: probes are up to so many times slower, and one; more than that
 #                  and the few on one side of a cut would take half a minute to find out who is left
 STALL_S = 2 * PERIOD_S  # the node itself stood still: it has nobody to blame for that time
 LAST_CALL_S = 0.2  # an accuser waits so long for the answer to its last call
@@ -44,8 +44,8 @@
     seq: int
     ask_s: float  # when others are asked
     end_s: float
-    asked: int = 0
-    nacks: int = 0
+    asked: set[str] = field(default_factory=set)  # helpers that have not said that they hear nothing either
+    indirect: bool = False  # helpers were asked, where there are any
 
 
 @dataclass(slots=True)
@@ -87,6 +87,7 @@
         self.sync_with: set[str] = set()  # members to exchange full states with: there is much to tell
         self._probe: Probe | None = None
         self._relayed: dict[int, Relayed] = {}
+        self._doubted: deque[str] = deque()  # to be probed before all others
         self._unheard: dict[str, float] = {}  # asked for others in vain, and when
         self._news: dict[str, News] = {}
         self._tells: deque[Update] = deque()
@@ -139,7 +140,7 @@
         if self._news or self._tells:
             times.append(self._next_gossip_s)
         if self._probe:
-            times.append(self._probe.end_s if self._probe.asked else self._probe.ask_s)
+            times.append(min(self._probe.end_s, self._probe.ask_s))
         times += [one.nack_s for one in self._relayed.values()]
         times += [self._suspicion_ends(place, since) for place, since in self._suspicions.items()]
         return min(times)
@@ -194,13 +195,21 @@
         slower = 1 + self.health
         self._next_probe_s = now + PERIOD_S * slower * self.random.uniform(0.9, 1.1)
         self._reconnect()
-        target = self.table.next_target()
-        if target is None or self._probe is not None:
+        if self._probe is not None:
+            return
+        while self._doubted and not self._here(self._doubted[0]):
+            self._doubted.popleft()
+        target = self._doubted.popleft() if self._doubted else self.table.next_target()
+        if target is None:
             return
         self._seq += 1
         self._probe = Probe(target, self._seq, now + DIRECT_S * slower, now + PERIOD_S * 0.9 * slower)
         self._send(target, Kind.PING, self._seq)
 
+    def _here(self, place: str) -> bool:
+        member = self.table.members.get(place)
+        return member is not None and member.here
+
     def _probe_on(self, now: float) -> None:
         probe = self._probe
         if probe is None:
@@ -208,13 +217,15 @@
         if now >= probe.end_s:
             self._probe = None
             member = self.table.members.get(probe.target)
-            # helpers that did not even say that they hear nothing: more likely it is this node that is deaf
-            self._worse(max(0, probe.asked - probe.nacks) if probe.asked else 1)
+            # Helpers that did not even say that they hear nothing: it may be this node that is deaf. Or they
+            # lie beyond the same cut, so they are next: else the few on one side find out late who is left.
+            self._worse(len(probe.asked) if probe.indirect else 1)
+            self._doubted += [place for place in sorted(probe.asked) if place not in self._doubted]
             if member is not None and member.here:
                 self._learn(replace(member.said, state=State.SUSPECT, accuser=self.own.place), now)
-        elif now >= probe.ask_s and not probe.asked:
+        elif now >= probe.ask_s:
             helpers = self.table.some(HELPERS, probe.target)
-            probe.asked, probe.ask_s = len(helpers), inf
+            probe.asked, probe.indirect, probe.ask_s = set(helpers), bool(helpers), inf
             for helper in helpers:
                 self._send(helper, Kind.PING_REQUEST, probe.seq, probe.target)
 
@@ -341,7 +352,7 @@
             case Kind.ACK:
                 self._acked(message)
             case Kind.NACK if self._probe and self._probe.seq == message.seq:
-                self._probe.nacks += 1
+                self._probe.asked.discard(message.sender)
             case _:
                 pass
         return self._took()
--- a/reelusher/interface.py
+++ b/reelusher/interface.py
@@ -200,6 +200,14 @@
     gauges: Gauges
 
 
+@dataclass(slots=True, frozen=True)
+class Learnt:
+    """What others have seen of late, as a start: what is seen here goes before it."""
+
+    pace: dict[int, float]  # by class: the time of a run over its hint
+    call_us: float = 0.0  # mean time of a call below; 0: not known
+
+
 @dataclass(slots=True, frozen=True)
 class Run:
     """Start a held request or go on with a paused one."""
@@ -343,7 +351,7 @@
         """Return the requests whose keys have run out."""
 
 
-Event = Request | Gone | CallNeeded | CallEnded | RunEnded | Drain | Tick
+Event = Request | Gone | CallNeeded | CallEnded | RunEnded | Drain | Tick | Learnt
 Action = (
     Run | Pause | Call | Skip | Decline | Fail | Join | Keep | Forget | Health | Advise | CloseIdle | Timer
 )
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -32,6 +32,8 @@
 
 if TYPE_CHECKING:
     from reelusher.admin.api import AdminApi
+    from reelusher.fleet.learning.learner import Learner
+    from reelusher.fleet.membership.messages import FactsReply
     from reelusher.fleet.membership.service import Membership
     from reelusher.tenancy.durable.keys import KeyLog
     from reelusher.tenancy.shares import Shares
@@ -43,6 +45,7 @@
 BACKLOGS_PART = 0.1  # part of it that answers may take which slow callers have not read yet
 RESERVED_SOCKETS = 48  # descriptors for listeners, files, runtime, vault, catalog and the administration API
 HANDOVER_MOST_S, HANDOVER_S = 3.0, 0.7  # an old process is ended after its longest deadline, and this
+WARM_S = 5.0  # a node that was started later than that ago has seen too little to teach
 EARLIER = 1 << 40  # tries of earlier lives of the node are numbered from here
 LEAST_CONNECTIONS = 16  # that fronts get however few descriptors there are
 
@@ -104,6 +107,7 @@
             self._share(told.name, Path(told.folder))
         self.admin: AdminApi | None = None
         self.fleet: Membership | None = None
+        self._learner: Learner | None = None
         self._key_log: KeyLog | None = None
         if own:
             self._set_up(own)
@@ -145,7 +149,10 @@
                 self.core, replace(own.ajp, max_connections=self._most_ajp()), tenants)
         if own.fleet:
             from reelusher.fleet.membership.service import Membership
+            from reelusher.fleet.learning.learner import Learner
             self.fleet = Membership(own.fleet, self.config.name, self._spread("fleet"), self.counters)
+            self.fleet.facts = self._facts
+            self._learner = Learner(self.fleet, self._spread("learning"), self.counters, self._take_facts)
         if own.admin:
             self.admin = AdminApi(own.admin, Parts(self.core, tenants, kept, self._pool, self.status,
                                                    self.ask_to_leave, self.fleet))
@@ -204,8 +211,27 @@
             self.catalog.start()
         if self.fleet:
             self.fleet.start()
+            assert self._learner is not None
+            self._learner.start()
             logger.info("{}: member of the fleet at {}:{}", self.config.name, *self.fleet.address)
 
+    def _facts(self) -> "FactsReply":
+        """Return what a fresh node may learn here; one that is cold itself would teach it wrong."""
+        from reelusher.fleet.membership.messages import Fact, FactsReply
+        warm_s = max(WARM_S, self.config.settings.cold_us / 1e6)
+        if time.monotonic() - self._began < warm_s or self.asked_to_leave.is_set():
+            return FactsReply(False, [])
+        seen = {**self.core.ask(self.core.seen), **self._pool.seen()}
+        return FactsReply(True, [Fact(about, value, seen_s) for about, (value, seen_s) in seen.items()])
+
+    def _take_facts(self, known: dict[str, float]) -> None:
+        """Start with what warm nodes know."""
+        pace = {about.removeprefix("run:"): value for about, value in known.items() if about[:4] == "run:"}
+        self.core.ask(lambda: self.core.learn(pace, known.get("call:below", 0.0)))
+        for about, value in known.items():
+            if about[:5] == "away:" and value > 0.5:
+                self._pool.doubt(about[5:])
+
     def _ready(self) -> bool:
         """Tell whether this process is ready to serve; from any thread."""
         good = (self._started and self.core.told.good and not self.asked_to_leave.is_set()
@@ -337,6 +363,8 @@
             self.admin.close()
         if self.catalog:
             self.catalog.stop()
+        if self._learner:
+            self._learner.close()
         if self.fleet:
             self.fleet.close()
         if self.vault:
