--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -158,7 +158,7 @@
     for name in "ab":
         hosted.ask(hosted.start(name))
     assert soon(lambda: all(len(node.fleet.live()) == 2 for node in hosted.nodes if node.fleet))
-    assert hosted.nodes[0].counters.snapshot()["workers.unreachable"] == 1  # a blind start found out by failing
+    assert hosted.nodes[0].counters.snapshot()["workers.unreachable"] == 1  # found by failing
     fresh = hosted.start("c")
     assert soon(lambda: "learning.believed" in learnt(fresh))
     assert learnt(fresh)["learning.believed"] == 3  # both workers, and how long a run takes
