--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -515,6 +516,9 @@
             assert live == A | B - {"n5"}, name
     last = census.newest(plan.run.seconds)
     assert all(live == A | B | C for live in last.values()) and len(last) == 12
+    for name in C:  # those that came back learnt from three that were warm
+        log = (tmp_path / f"{name}.log").read_text()
+        assert re.search(r"learning: 3 of \d+ members told, [1-9]", log), log
     # one that stood still blames nobody for it
     assert all(live >= A | B for at_s, name, live in census.looks if name == "n5" and at_s > 18)
 
