Give every try that waits for another process's claim its end, whatever the claim is like

Found on reading again: a claim that could not be read while its end was waited for was dropped by the thread, so its try kept a running slot for good; and one that nobody of us wrote had its key turned away, though it may have been run. Both now fail the try; only a key that can't be written is turned away, as nothing ran.

--- a/reelusher/upgrade/claims.py
+++ b/reelusher/upgrade/claims.py
@@ -117,13 +117,16 @@
         fresh.rename(path)
 
     def _claim(self, claim: Claim) -> None:
+        path, found = self._path(claim.key), None
         try:
             with self._alone():
-                path = self._path(claim.key)
-                found = self._read(path, claim.door_us)
+                try:
+                    found = self._read(path, claim.door_us)
+                except (OSError, ValueError):
+                    found = {}  # something is there: it may have been run
                 if found is None:
                     self._write(path, {"until_us": claim.until_us, "digest": claim.digest, "state": RUNS})
-        except (OSError, ValueError, KeyError) as error:  # a full disk, or a file that nobody of us wrote
+        except OSError as error:  # a full disk, say: nothing was claimed, so nothing is run
             logger.error("upgrade: a key can't be claimed, its request is turned away: {}", error)
             claim.done(False)
             return
@@ -133,7 +136,17 @@
             self._found(claim, found)
 
     def _found(self, claim: Claim, found: dict[str, Any]) -> None:
-        """Say what a claim of another process came to, or wait for its end."""
+        """Say what a claim of another process came to, or wait for its end.
+
+        Whatever is wrong with it, the try gets its end: one that got none would hold its place for good.
+        """
+        try:
+            self._tell(claim, found)
+        except (ValueError, KeyError, TypeError) as error:
+            logger.error("upgrade: a claim can't be read, its request fails: {}", error)
+            claim.elsewhere(None)
+
+    def _tell(self, claim: Claim, found: dict[str, Any]) -> None:
         if found["digest"] != claim.digest or self._now_us() >= claim.due_us:  # another body, or too late
             claim.elsewhere(None)
         elif found["state"] != RUNS:
@@ -149,7 +162,10 @@
         now = time.monotonic()
         while self._waiting and self._waiting[0][0] <= now:
             claim = heapq.heappop(self._waiting)[2]
-            found = self._read(self._path(claim.key), claim.door_us)
+            try:
+                found = self._read(self._path(claim.key), claim.door_us)
+            except (OSError, ValueError):
+                found = {}
             if found is None:  # taken back there: it never ran
                 self._claim(claim)
             else:
--- a/reelusher/upgrade/lives.py
+++ b/reelusher/upgrade/lives.py
@@ -35,10 +35,10 @@
 
     def successor(self) -> bool:
         """Tell whether a process that was started later lives and serves; files of dead ones are removed."""
-        found = False
-        for path in self._folder.glob(f"{self._stem}.*{SUFFIX}"):
-            if path == self._path:
-                continue
+        found, others = False, list[Path]()
+        with contextlib.suppress(OSError):  # the folder can't be read: then this is a drain as any other
+            others = [path for path in self._folder.glob(f"{self._stem}.*{SUFFIX}") if path != self._path]
+        for path in others:
             with contextlib.suppress(OSError):  # gone meanwhile
                 other = os.open(path, os.O_RDWR | os.O_CLOEXEC)
                 try:
