--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,7 @@
 """Settings and small steps that the tests share."""
 
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from reelusher import interface as io
@@ -12,6 +13,14 @@
 UNSAFE = io.RequestClass(deadline_us=8_000_000, aim_us=2_000_000, effect=io.Effect.UNSAFE)
 
 
+def soon(holds: Callable[[], object], most_s: float = 20.0) -> bool:
+    """Wait until something holds; tell whether it came to that."""
+    until = time.monotonic() + most_s
+    while not holds() and time.monotonic() < until:
+        time.sleep(0.01)
+    return bool(holds())
+
+
 def settings(*classes: io.RequestClass, **changes: Any) -> io.Settings:
     """Return those of a small worker, with changes."""
     given: dict[str, Any] = {
