--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -26,7 +26,6 @@
 from reelusher.core.pace import Pace
 from reelusher.drain.leave import Drained, lead
 from reelusher.drain.signals import LOOK_S, SignalWatch
-from reelusher.fronts.operator import OperatorFront
 from reelusher.fronts.platform import PlatformFront
 from reelusher.net import spawn
 
@@ -35,6 +34,7 @@
     from reelusher.fleet.learning.learner import Learner
     from reelusher.fleet.membership.messages import FactsReply
     from reelusher.fleet.membership.service import Membership
+    from reelusher.fronts.operator import OperatorFront
     from reelusher.tenancy.durable.keys import KeyLog
     from reelusher.tenancy.shares import Shares
     from reelusher.upgrade.claims import Claims
@@ -99,8 +99,11 @@
                 self.core, told.listen, PLATFORM_TENANT, self._most_connections() - self._most_ajp(),
                 int(config.memory_mb * BACKLOGS_PART * (1 << 20)),
                 lambda late_s: self._pace.note(late_s, time.monotonic()), shared=told.operator is not None)
-        self.operator = OperatorFront(told.operator, self.counters, self._ready, self.core.figures.told,
-                                      self._send_away) if told and told.operator else None
+        self.operator: "OperatorFront | None" = None
+        if told and told.operator:
+            from reelusher.fronts.operator import OperatorFront
+            self.operator = OperatorFront(told.operator, self.counters, self._ready, self.core.figures.told,
+                                          self._send_away)
         self._lives: Lives | None = None
         self._claims: Claims | None = None
         if told and told.folder:
