--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -27,7 +27,7 @@
 from reelusher.drain.leave import Drained, lead
 from reelusher.drain.signals import LOOK_S, SignalWatch
 from reelusher.fronts.platform import PlatformFront
-from reelusher.net import spawn
+from reelusher.net import Address, spawn
 
 if TYPE_CHECKING:
     from reelusher.admin.api import AdminApi
@@ -99,11 +99,7 @@
                 self.core, told.listen, PLATFORM_TENANT, self._most_connections() - self._most_ajp(),
                 int(config.memory_mb * BACKLOGS_PART * (1 << 20)),
                 lambda late_s: self._pace.note(late_s, time.monotonic()), shared=told.operator is not None)
-        self.operator: "OperatorFront | None" = None
-        if told and told.operator:
-            from reelusher.fronts.operator import OperatorFront
-            self.operator = OperatorFront(told.operator, self.counters, self._ready, self.core.figures.told,
-                                          self._send_away)
+        self.operator = self._second_address(told.operator) if told and told.operator else None
         self._lives: Lives | None = None
         self._claims: Claims | None = None
         if told and told.folder:
@@ -115,6 +111,10 @@
         if own:
             self._set_up(own)
 
+    def _second_address(self, address: Address) -> "OperatorFront":
+        from reelusher.fronts.operator import OperatorFront
+        return OperatorFront(address, self.counters, self._ready, self.core.figures.told, self._send_away)
+
     def _share(self, name: str, folder: Path) -> None:
         """Take part in upgrades: be known to other processes of this node, and claim keys before they run."""
         from reelusher.upgrade.claims import Claims
