--- a/reelusher/fleet/membership/service.py
+++ b/reelusher/fleet/membership/service.py
@@ -215,24 +215,28 @@
             except (OSError, ConfigError):  # a full buffer, or a place that is none: as if lost on the way
                 self._counters.add("fleet.send_failed")
         if said.changes:
-            for change in said.changes:
-                what = change.said.state.name.lower()
-                if change.said.state is State.ALIVE and change.before is not None:
-                    what = "back"
-                self._since[what] += 1
-                self._counters.add(f"fleet.{what}")
-                if len(self._names) < LOG_NAMES:
-                    self._names.append(f"{change.said.name} {what}")
+            with self._lock:  # states and datagrams are carried out by threads of their own
+                for change in said.changes:
+                    self._note(change)
             self.on_change(said.changes)
 
+    def _note(self, change: Change) -> None:
+        what = change.said.state.name.lower()
+        if change.said.state is State.ALIVE and change.before is not None:
+            what = "back"
+        self._since[what] += 1
+        self._counters.add(f"fleet.{what}")
+        if len(self._names) < LOG_NAMES:
+            self._names.append(f"{change.said.name} {what}")
+
     def _log(self, now: float) -> None:
         """Say what has changed, in one line for all of a second: hundreds may change at once."""
         if not self._since or now - self._logged_s < LOG_S:
             return
         with self._lock:
             size, namesakes = self._swim.size(), self._namesakes()
-        changes, self._since = self._since, Counter()
-        names, self._names = self._names, []
+            changes, self._since = self._since, Counter()
+            names, self._names = self._names, []
         self._logged_s = now
         more = sum(changes.values()) - len(names)
         logger.info("fleet: {} live; {}{}", size, ", ".join(names), f" and {more} more" if more > 0 else "")
