Pick the rig's ports where no connection can take them, and give a cut fleet time to see it

Seen: with three suites at once beside busy processes the new rig tests failed in 4 of 6 runs of them, a repeat in 1 of 6. Cause of one: «can't listen: [Errno 98] Address already in use» at 127.1.2.3:41327; the port was free at the first node's address when it was looked for, and lies where the kernel takes ports for connections, of which members make some from their own address. Ports now lie below those, and are looked for at every node's address. Cause of the other: the test held 3.4 s after five of twelve went that all knew, where the protocol needs up to 6.5 s on the smaller side (docs/open.md); it now holds that after 6.9 s.

--- a/reelusher/lab/fleet/rig.py
+++ b/reelusher/lab/fleet/rig.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import os
+import random
 import resource
 import signal
 import socket
@@ -26,6 +27,7 @@
 STARVE_S = 0.02  # a starved node is stopped and continued within each such span
 AHEAD = -10  # of the rig's own priority before that of its nodes, where that is allowed
 SERVICES = "127.200.0.2"  # where the stand-ins listen, behind the relays
+PORTS, PORT_TRIES = (10_000, 32_000), 100
 FAULTS = ("Traceback", " ERROR ")  # words in a node's log that spoil a run
 
 
@@ -34,6 +36,22 @@
     return f"127.{1 + number // 250}.{zone + 1}.{number % 250 + 1}", port
 
 
+def free_port(hosts: list[str]) -> int:
+    """Return a port that is free on all of these addresses, for connections and datagrams.
+
+    It lies below those that the kernel gives to whoever asks for any: one of them, free when it was looked
+    for, is now and then taken by a connection before its node has come to listen there.
+    """
+    for _ in range(PORT_TRIES):
+        port = random.SystemRandom().randrange(*PORTS)
+        with contextlib.suppress(OSError):
+            for host in hosts:
+                with socket.create_server((host, port)), socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+                    datagrams.bind((host, port))
+            return port
+    raise OSError(f"no port is free on all of {len(hosts)} addresses")
+
+
 class Rig(Stage):
     """One run."""
 
@@ -98,8 +116,8 @@
     async def _wire(self) -> None:
         """Set up relays and configurations."""
         plan, names = self.plan, iter(self.plan.node_names())
-        with socket.create_server(("127.1.1.1", 0)) as free:
-            port = free.getsockname()[1]
+        port = free_port([address_of(zone_no, number, 0)[0] for zone_no, zone in enumerate(plan.zones)
+                          for number in range(zone.nodes)])
         listed = await self._serve(partial(ListWire, self.list))
         below = {name: await self._serve(partial(BelowWire, one)) for name, one in self.belows.items()}
         for zone_no, zone in enumerate(plan.zones):
@@ -117,9 +135,10 @@
 
     async def _join(self) -> None:
         """Make all nodes members of one fleet, whose datagrams and states go through relays too."""
-        with contextlib.ExitStack() as stack:  # ports that are free at every node's own address
-            free = [stack.enter_context(socket.create_server(("127.1.1.1", 0))) for _ in range(2)]
-            fleet_port, admin_port = (sock.getsockname()[1] for sock in free)
+        hosts = [place[0] for place in self.places.values()]
+        fleet_port = admin_port = free_port(hosts)
+        while admin_port == fleet_port:
+            admin_port = free_port(hosts)
         doors = {name: await self.net.inlet(name, (place[0], fleet_port), streams=True)
                  for name, place in self.places.items()}
         by_zone: dict[str, list[str]] = {}
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -501,8 +501,8 @@
 def test_a_fleet_that_is_cut_killed_and_stopped_knows_who_is_there_and_serves_on(tmp_path: Path) -> None:
     cuts = [{"kind": "cut", "of": "nodes:a", "to": f"nodes:{zone}", "at_s": 0.5, "for_s": 9}
             for zone in "bc"]
-    plan = member_plan(22, *cuts, {"kind": "kill", "of": "nodes:c", "at_s": 13, "for_s": 3.5},
-                       {"kind": "stop", "of": "node:n5", "at_s": 13, "for_s": 5})
+    plan = member_plan(26, *cuts, {"kind": "kill", "of": "nodes:c", "at_s": 13, "for_s": 8},
+                       {"kind": "stop", "of": "node:n5", "at_s": 13, "for_s": 7})
     account = play(plan, tmp_path)
     assert account.broken == [] and account.figures()["served_worth"] > 0.5
     census = account.census
@@ -511,7 +511,7 @@
     for name, live in census.newest(9.4).items():  # each side goes by what it has
         assert live == (A if name in A else B | C), name
     assert all(live == A | B | C for live in census.newest(12.9).values())  # and they are one again
-    for name, live in census.newest(16.4).items():
+    for name, live in census.newest(19.9).items():
         if name in A | B - {"n5"}:
             assert live == A | B - {"n5"}, name
     last = census.newest(plan.run.seconds)
@@ -520,7 +520,7 @@
         log = (tmp_path / f"{name}.log").read_text()
         assert re.search(r"learning: 3 of \d+ members told, [1-9]", log), log
     # one that stood still blames nobody for it
-    assert all(live >= A | B for at_s, name, live in census.looks if name == "n5" and at_s > 18)
+    assert all(live >= A | B for at_s, name, live in census.looks if name == "n5" and at_s > 20)
 
 
 def test_a_fleet_joins_while_datagrams_are_lost_and_doubled_and_the_list_is_away(tmp_path: Path) -> None:
