Take a claim back in one place, and drop a hook and a list that nobody used

A try whose key was claimed and whose answer came meanwhile took the claim back twice, in _key_kept and in _run_over; and one whose key could not be claimed took back what another process may have claimed since. _run_over does it alone now, and only for a key that was made safe here. Figures._names and Membership.on_change had no reader.

--- a/reelusher/core/figures.py
+++ b/reelusher/core/figures.py
@@ -14,7 +14,6 @@
 
     def __init__(self, class_names: list[str]) -> None:
         self._lock = threading.Lock()
-        self._names: list[str] = []
         self._counts: dict[str, Counter[str]] = {word: Counter() for word in WORDS.values()}
         self._taken = self._ended = self._forwards = 0
         self._reloads = {"sighup_applied": 0, "sighup_rejected": 0}
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -446,15 +446,13 @@
         attempt = self.attempts.get(message.number)
         if attempt is None or not attempt.waits:
             return
-        attempt.waits = False
+        attempt.waits = not message.well  # a key that was not made safe is not this process's to take back
         if message.well and not attempt.answered:
             self._start(attempt)
             return
         entry = self.keys.of(attempt.id)
         if self.keeper is not None and entry is not None and message.well:
             self.keeper.forget(entry.key)
-        if self.claims is not None and entry is not None and message.well:
-            self.claims.forget(entry.key)
         self._run_over(RunOver(attempt.request.call, io.Outcome.MOOT))
 
     def _do_pause(self, action: io.Pause) -> None:
--- a/reelusher/fleet/membership/service.py
+++ b/reelusher/fleet/membership/service.py
@@ -91,7 +91,6 @@
         self._names: list[str] = []
         self._logged_s = self._dropped_s = now
         self.facts: Callable[[], FactsReply] = lambda: FactsReply(False, [])  # what this node has seen
-        self.on_change: Callable[[list[Change]], None] = lambda changes: None  # must not wait
 
     def _bound(self, address: Address) -> tuple[socket.socket, Listener]:
         """Take an address for datagrams and connections; of port 0, one that is free for both."""
@@ -218,7 +217,6 @@
             with self._lock:  # states and datagrams are carried out by threads of their own
                 for change in said.changes:
                     self._note(change)
-            self.on_change(said.changes)
 
     def _note(self, change: Change) -> None:
         what = change.said.state.name.lower()
