Mend what crosses in moves, notices, reloads and clock steps, each with the order forced

The node's clock goes on by the monotonic one, and Unix times of others are brought onto it. - `Vault` leaked a place for each thread that could not be started. Found sound by the same tests: commands kept while the runtime is away are bounded by what may run.

--- a/reelusher/backends/runtime.py
+++ b/reelusher/backends/runtime.py
@@ -21,6 +21,7 @@
 LIVED_S = 1.0  # a link that lived for less gets no next one at once
 CONNECT_S = 2.0
 BACKLOG_BYTES = 8 << 20
+MOST_MARKS = 64  # gauges asked for and not answered that are remembered; ten are asked for each second
 LOST_S = 0.06  # a break may take commands along that went out so shortly before: 50 ms, and the way
 RESTART_S = 5.0  # a start later than the known one by this is another start: clocks and pauses blur less
 ENDS = {"ok": io.Outcome.OK, "failed": io.Outcome.ERROR, "halted": io.Outcome.CANCELLED,
@@ -53,6 +54,8 @@
     def mark(self, cookie: str) -> None:
         """Note that gauges are asked for, behind all that went out by now."""
         self._marks[cookie] = self._last
+        if len(self._marks) > MOST_MARKS:  # a runtime that answers none of them must not fill the memory
+            del self._marks[next(iter(self._marks))]
 
     def answered(self, cookie: str) -> None:
         """Drop what went out before these gauges were asked for."""
@@ -105,7 +108,8 @@
         self._outbox: Outbox | None = None
         self._ready = False  # caught up with the runtime on this link
         self._sent = Unproved()
-        self._serial = 0  # of the last notice read
+        self._serial = 0  # of the last notice taken
+        self._spoilt: object = None  # serial of the newest notice that could not be read
         self._links = 0
         self._closed = False
         self._began = 0.0  # when the runtime started, by the monotonic clock
@@ -147,8 +151,8 @@
 
     def close(self) -> None:
         """Let go of the link for good."""
-        self._closed = True
         with self._lock:
+            self._closed = True
             if self._outbox is not None:
                 self._outbox.close()
 
@@ -201,9 +205,11 @@
         with self._lock:
             address = self._address
             moved, self._next = self._next, None
-            if moved is not None:
-                self._linked = moved[0]
+            if moved is not None and moved[0] == address:
+                self._linked = address
                 return moved[1]
+        if moved is not None:  # a further move came before this one was taken up
+            moved[1].close()
         try:
             sock = connect(address, CONNECT_S)
         except OSError:
@@ -225,7 +231,7 @@
             outbox, opened = Outbox(sock, BACKLOG_BYTES), time.monotonic()
             with self._lock:
                 self._outbox, self._links = outbox, self._links + 1
-                if self._next is not None:
+                if self._next is not None or self._closed:
                     outbox.close()
             outbox.send(lines.json_line({"msg": "sync", "serial": self._serial}))
             try:
@@ -259,15 +265,21 @@
         if react is None:
             raise lines.Malformed(f"an unknown notice {word!r}")
         serial = message.get("serial")
-        if isinstance(serial, int):
-            if serial <= self._serial:
-                self._counters.add("runtime.replayed")
-                return
-            self._serial = serial
+        if isinstance(serial, int) and serial <= self._serial:
+            self._counters.add("runtime.replayed")
+            return
         try:
             react(message)
         except (KeyError, TypeError, ValueError) as error:
-            raise lines.Malformed(f"a notice {word} with a bad field: {error!r}") from None
+            if not isinstance(serial, int) or self._spoilt != serial:
+                self._spoilt = serial  # it may have been spoilt on its way: the next link brings it again
+                raise lines.Malformed(f"a notice {word} with a bad field: {error!r}") from None
+            self._counters.warn("runtime.spoilt_twice",
+                                "runtime: the notice {} can't be read, its run counts as failed", serial)
+            if isinstance(call := message.get("call"), str):
+                self._post(RunOver(call, io.Outcome.ERROR))
+        if isinstance(serial, int):
+            self._serial = serial  # not before it has been taken: a notice that was not is asked for again
 
     def _on_ready(self, message: dict[str, Any]) -> None:
         began = time.monotonic() - float(message.get("duration", 0)) / 1000
--- a/reelusher/backends/vault.py
+++ b/reelusher/backends/vault.py
@@ -124,8 +124,14 @@
                 if self._lines >= self._most:
                     return
                 line = Line(self._address)
+                try:  # it reads what it is to carry under the lock, so after this step
+                    spawn("vault-line", partial(self._carry, line))
+                except RuntimeError as error:
+                    self._counters.warn("vault.no_thread", "vault: no thread for a connection: {}", error)
+                    self._waiting.popleft()
+                    self._post(CallOver(wanted.call, wanted.ticket, io.Outcome.UNREACHABLE))  # never sent
+                    continue
                 self._lines += 1
-                spawn("vault-line", partial(self._carry, line))
             else:
                 self._idle.remove(line)
             self._waiting.popleft()
--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -113,10 +113,18 @@
         self._inbox.put(message)
 
     def ask(self, action: Callable[[], Any], timeout: float = 5.0) -> Any:
-        """Let the owner do something between two batches and return what it returns."""
+        """Let the owner do something between two batches and return what it returns.
+
+        Raises TimeoutError where it did not come to that in so many seconds; then it never will.
+        """
         done: Future[Any] = Future()
         self.post(Ask(action, done))
-        return done.result(timeout)
+        try:
+            return done.result(timeout)
+        except TimeoutError:
+            if done.cancel():
+                raise
+            return done.result()  # it is at it
 
     def start(self) -> threading.Thread:
         """Start the owner's thread."""
@@ -383,6 +391,8 @@
         self._events.append(io.Drain(max(0, message.stop_us - self.now), max(0, self.now - message.told_us)))
 
     def _ask(self, message: Ask) -> None:
+        if not message.done.set_running_or_notify_cancel():
+            return
         try:
             message.done.set_result(message.action())
         except Exception as error:  # belongs to the thread that asks, not to the owner
@@ -418,10 +428,11 @@
     def _make_safe(self, attempt: Attempt, entry: Entry) -> None:
         """Have a key claimed, and made durable, before its run begins; `KeyKept` or the run's end follows."""
         request, number, keeper, began_us = attempt.request, attempt.id, self.keeper, self.now
+        ahead_us = self.clock.unix_ahead_us()  # other processes, and later lives, read Unix time
 
         def claimed(well: bool) -> None:
             if well and keeper is not None:
-                keeper.keep(entry.key, entry.until_us, entry.digest,
+                keeper.keep(entry.key, entry.until_us + ahead_us, entry.digest,
                             lambda kept: self.post(KeyKept(number, kept)))
             else:
                 self.post(KeyKept(number, well))
@@ -433,8 +444,9 @@
         if self.claims is None:
             claimed(True)
         else:
-            self.claims.keep(Claim(entry.key, request.door_us, entry.until_us, attempt.due_us,
-                                   entry.digest.hex(), claimed, elsewhere))
+            self.claims.keep(Claim(
+                entry.key, request.door_us + ahead_us, entry.until_us + ahead_us, attempt.due_us + ahead_us,
+                entry.digest.hex(), claimed, elsewhere))
 
     def _start(self, attempt: Attempt) -> None:
         self.counters.add("runs.started")
--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -183,8 +183,10 @@
 
     def retune(self, kinds: dict[str, int]) -> None:
         """Take requests of these classes from now on; the core knows them already. From any thread."""
-        until = time.monotonic() + DROPPED_S
-        self._dropped = {name: (number, until) for name, number in self._kinds.items() if name not in kinds}
+        now = time.monotonic()
+        still = {name: known for name, known in self._dropped.items() if known[1] > now}  # of a reload before
+        self._dropped = still | {name: (number, now + DROPPED_S) for name, number in self._kinds.items()
+                                 if name not in kinds}
         self._longest_us = max(kind.deadline_us for kind in self._core.settings.classes)
         self._kinds = kinds
 
@@ -489,12 +491,13 @@
         if self._core.settings.classes[kind].effect is io.Effect.KEYED and not key:
             raise BadRequest("unique is missing")
         number_of(fields, "standing", 0, 1, 0)  # the module ranks by class alone; a bad one is still an error
-        now_us = self._core.clock.now()
+        ahead_us = self._core.clock.unix_ahead_us()
+        unix_us = self._core.clock.now() + ahead_us
         # a door far from the clock would set timers and keys that outlive everything else
-        door_ms = number_of(fields, "door", (now_us - DOOR_BEHIND_US - self._longest_us) / 1000,
-                            (now_us + DOOR_AHEAD_US) / 1000, now_us / 1000)
+        door_ms = number_of(fields, "door", (unix_us - DOOR_BEHIND_US - self._longest_us) / 1000,
+                            (unix_us + DOOR_AHEAD_US) / 1000, unix_us / 1000)
         return Request(
-            call=call, kind=kind, body=body, door_us=int(door_ms * 1000),
+            call=call, kind=kind, body=body, door_us=int(door_ms * 1000) - ahead_us,
             reply=lambda answer: self._reply(connection, number, answer), tenant=self._tenant,
             caller=int(number_of(fields, "lb", 0, MOST_CALLER, 0)), subject=subject_of(item) if item else 0,
             held_kb=number_of(fields, "ram", 0, MOST_HELD_KB, 0.0),
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -46,6 +46,7 @@
 RESERVED_SOCKETS = 48  # descriptors for listeners, files, runtime, vault, catalog and the administration API
 HANDOVER_MOST_S, HANDOVER_S = 3.0, 0.7  # an old process is ended after its longest deadline, and this
 WARM_S = 5.0  # a node that was started later than that ago has seen too little to teach
+MOST_RELOADS = 2  # one at work, and one that will read what is there by then; more would read the same
 EARLIER = 1 << 40  # tries of earlier lives of the node are numbered from here
 LEAST_CONNECTIONS = 16  # that fronts get however few descriptors there are
 
@@ -71,6 +72,7 @@
         self._started = False
         self._asked_s = 0.0  # when the drain was asked for at the earliest, by the monotonic clock
         self._reload = threading.Lock()  # held while files are read
+        self._reloads = threading.BoundedSemaphore(MOST_RELOADS)
         self._pace = Pace()  # of the fronts' poller
         self.counters, self._clock = Counters(), Clock()
         self._began = time.monotonic()
@@ -275,13 +277,29 @@
         """Take up the addresses of a new configuration; False where it can't be used and the old one stands.
 
         Requests in hand and runs go on. Whatever else the new one says counts from the next start. Of two
-        at once the second waits for the first and then reads what is there by then.
+        at once the second waits for the first and then reads what is there by then; a third is left to it.
         """
-        with self._reload:
-            taken_up = self._take_up(read)
+        if not self._reloads.acquire(blocking=False):
+            self.counters.add("reload.left_out")
+            return False
+        try:
+            with self._reload:
+                taken_up = self._guarded_take_up(read)
+        finally:
+            self._reloads.release()
         self.core.figures.reloaded(taken_up)
         return taken_up
 
+    def _guarded_take_up(self, read: Callable[[], Config]) -> bool:
+        """Take a new configuration up; whatever goes wrong, it is turned down aloud."""
+        try:
+            return self._take_up(read)
+        except TimeoutError:
+            return self._turned_down("the owner has no time for it")
+        except Exception as error:
+            logger.exception("reload: it failed")
+            return self._turned_down(repr(error))
+
     def _take_up(self, read: Callable[[], Config]) -> bool:
         try:
             config = read()
@@ -296,8 +314,8 @@
         if (told.settings, told.class_names) != (before.settings, before.class_names):
             front = self.fronts["platform"]
             assert isinstance(front, PlatformFront)
-            try:
-                front.retune(self.core.ask(lambda: self.core.retune(
+            try:  # in one step of the owner's, or core and front could go by different files
+                self.core.ask(lambda: front.retune(self.core.retune(
                     told.settings, told.gauges, told.class_names)))
             except ValueError as error:
                 return self._turned_down(str(error))
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -111,11 +111,12 @@
     def accept(self) -> None:
         while True:
             try:
-                self.sock, _ = self.listener.accept()
+                sock, _ = self.listener.accept()
             except OSError:
                 return
             if self.one_at_a_time and self.reader is not None:
                 self.reader.join(PATIENCE_S)  # the old link's end is told before the new one's beginning
+            self.sock = sock
             self.read(*self.codec())
 
     def codec(self) -> tuple[Any, Callable[[Any], str | None]]:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -46,7 +46,7 @@
         self.backend = Backend()
         self.answers: dict[str, list[Answer]] = {}
         self.core = Core(settings(*KINDS, **changes), [], 1, self.backend, self.backend,
-                         clock=Clock(lambda: self.time * 1000))
+                         clock=Clock(*[lambda: self.time * 1000] * 2))
         self.core.turn([])
 
     def request(self, call: str, kind: int = 0, key: str = "", age_us: int = 0, tenant: str = "t") -> Arrived:
@@ -64,10 +64,21 @@
         return self.core.counters.snapshot().get(name, 0)
 
 
-def test_the_clock_never_goes_backwards() -> None:
-    times = iter([5_000, 3_000, 9_000])
-    clock = Clock(lambda: next(times))
-    assert [clock.now() for _ in range(3)] == [5, 5, 9]
+def test_the_clock_goes_on_while_the_system_clock_is_stepped_and_says_how_far_that_is_off() -> None:
+    unix, monotonic = 5_000_000, 1_000
+    clock = Clock(lambda: unix, lambda: monotonic)
+    assert (clock.now(), clock.unix_ahead_us()) == (5_000, 0)
+    unix, monotonic = 2_000_000, 9_000  # a step back, and 8 us go by
+    assert (clock.now(), clock.unix_ahead_us()) == (5_008, -3_008)
+    unix = 9_000_000
+    assert (clock.now(), clock.unix_ahead_us()) == (5_008, 3_992)
+
+
+def test_clocks_that_were_not_read_together_are_not_compared() -> None:
+    """A thread that was held up between them would take its own delay for a step, and move a window by it."""
+    times = iter([0, 0, 5_000_000])
+    clock = Clock(lambda: 0, lambda: next(times))
+    assert clock.unix_ahead_us() == 0
 
 
 def test_timers_run_in_order_and_what_they_set_waits_for_the_next_turn() -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,18 +5,25 @@
 import tempfile
 import threading
 import time
+from collections import deque
 from collections.abc import Callable, Iterator
+from concurrent.futures import Future
 from typing import Any
 
 import parties
 import pytest
 from helpers import soon
-from scenario import standing
+from scenario import platform_config, retuned, standing
 
+from reelusher.backends.runtime import RuntimeLink, Unproved
+from reelusher.config import Config
+from reelusher.config.load import merge
+from reelusher.config.platform import parse as parse_platform
+from reelusher.core.model import Ask
 from reelusher.drain.ending import unread_bytes
 from reelusher.fronts import platform
 from reelusher.fronts.platform import Connection, PlatformFront
-from reelusher.net import Address, Listener
+from reelusher.net import Address, Listener, Outbox
 from reelusher.server import Node
 from reelusher.wire import ajp13, msgpack
 
@@ -26,32 +33,38 @@
 class Peer:
     """A caller by hand: what it sends, what came back, and how its connection ended."""
 
-    def __init__(self, node: Node, receive_bytes: int = 0) -> None:
+    def __init__(self, node: Node, receive_bytes: int = 0, ask: int = 0) -> None:
+        """`ask`: how many health checks it sends as soon as it can."""
         self.sock = socket.socket()
         if receive_bytes:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
         self.sock.settimeout(parties.PATIENCE_S)
+        self.came: deque[Any] = deque()
+        self.decoder = msgpack.Decoder(1 << 14)
         self.sock.connect(node.fronts["platform"].address)
+        self.ask(*range(1, ask + 1), method="health")
 
     def ask(self, *numbers: int, method: str = "slot-search") -> None:
         """Ask so many requests in one piece."""
         self.sock.sendall(b"".join(asked(number, method) for number in numbers))
 
+    def more(self) -> bool:
+        """Read what has come; False at the end. A reset is an error."""
+        data = self.sock.recv(1 << 16)
+        self.came.extend(self.decoder.feed(data))
+        return bool(data)
+
     def until_end(self) -> list[Any]:
-        """Read to the end of the connection; a reset is an error."""
-        decoder = msgpack.Decoder(1 << 14)
-        came: list[Any] = []
-        while data := self.sock.recv(1 << 16):
-            came += decoder.feed(data)
-        return came
+        """Read to the end of the connection; return all that came."""
+        while self.more():
+            pass
+        return list(self.came)
 
     def answer(self) -> Any:
-        """Read one answer."""
-        decoder = msgpack.Decoder(1 << 14)
-        while data := self.sock.recv(1 << 16):
-            for message in decoder.feed(data):
-                return message
-        raise AssertionError("closed without an answer")
+        """Return the next answer."""
+        while not self.came:
+            assert self.more(), "closed without an answer"
+        return self.came.popleft()
 
 
 def asked(number: int, method: str = "slot-search", **more: str) -> bytes:
@@ -205,9 +218,7 @@
                 peer.sock.sendall(big)
                 if front.open_connections() and all(one.outbox.backlog for one in front._all()):
                     raise TimeoutError
-    late = [Peer(world["node"].node) for _ in range(platform.SPARE + 4)]
-    for peer in late:
-        peer.ask(1, method="health")
+    late = [Peer(world["node"].node, ask=1) for _ in range(platform.SPARE + 4)]
     assert [peer.answer()[1] for peer in late] == [1] * len(late)
 
 
@@ -239,3 +250,188 @@
         peer.sock.shutdown(socket.SHUT_RDWR)
         for worker in workers:
             worker.join()
+
+
+@pytest.mark.parametrize("step_s", [-3600, 3600])
+def test_a_keyed_request_runs_once_though_the_clock_is_stepped_between_its_tries(
+        world: dict[str, Any], monkeypatch: pytest.MonkeyPatch, step_s: int) -> None:
+    runtime, peer = world["runtime"], Peer(world["node"].node)
+    runtime.at_once = True
+    peer.sock.sendall(asked(1, "book-visit", unique="k"))
+    assert peer.answer()[2] is None
+    runtime.expect(["start", "*", "book-visit"])
+    monkeypatch.setattr(time, "time_ns", lambda read=time.time_ns: read() + step_s * 1_000_000_000)
+    node = world["node"].node
+    monkeypatch.setattr(node.core.clock, "_unix_ns" if hasattr(node.core.clock, "_unix_ns") else "_read",
+                        time.time_ns)
+    peer.sock.sendall(asked(2, "book-visit", unique="k") + asked(3))
+    came = {message[1]: message[2] for message in (peer.answer(), peer.answer())}
+    assert came == {2: None, 3: None}  # both served: the repeat from what was kept
+    runtime.expect(["start", "*", "slot-search"])
+    runtime.expect(["nothing"])
+
+
+def moved_twice(runtime: RuntimeLink, first: Address, second: Address) -> None:
+    """Move to one address and at once to another, as soon as the first move has its link ready."""
+    take_up, now = threading.Event(), threading.Event()
+    opened = runtime._open
+
+    def late() -> socket.socket | None:
+        now.set()
+        assert take_up.wait(parties.PATIENCE_S)
+        return opened()
+
+    runtime._open = late  # type: ignore[method-assign]
+    runtime.move(first)
+    assert now.wait(parties.PATIENCE_S)  # the old link is down, the moved one is about to be taken up
+    runtime.move(second)
+    take_up.set()
+
+
+def test_a_move_back_that_crosses_a_move_wins(world: dict[str, Any]) -> None:
+    runtime = world["node"].node.runtime
+    moved_twice(runtime, world["runtime2"].address, world["runtime"].address)
+    assert soon(lambda: runtime.up and runtime._linked == world["runtime"].address)
+    world["runtime"].at_once, peer = True, Peer(world["node"].node)
+    peer.ask(1)
+    assert peer.answer()[3][0] == b"r"
+
+
+def test_a_link_that_is_opened_while_the_node_closes_is_let_go(world: dict[str, Any]) -> None:
+    runtime, opened = world["node"].node.runtime, threading.Event()
+    open_one = runtime._open
+
+    def crossing() -> socket.socket | None:
+        sock: socket.socket | None = open_one()
+        opened.set()
+        runtime.close()  # now: the link is open, and nobody knows it yet
+        return sock
+
+    runtime._open = crossing
+    world["runtime"].close([])
+    assert opened.wait(parties.PATIENCE_S)
+    world["runtime"].expect(["closed"])
+    world["runtime"].expect(["closed"])
+
+
+def test_commands_kept_for_a_runtime_that_is_away_are_bounded(world: dict[str, Any]) -> None:
+    node, peer = world["node"].node, Peer(world["node"].node)
+    world["runtime"].close(["listener"])
+    assert soon(lambda: not node.runtime.up)
+    for first in range(1, 200, 20):
+        peer.ask(*range(first, first + 20), method="day-view")
+        for _ in range(18):  # two may wait for their time to pass
+            peer.answer()
+    most = node.config.settings.crowd_per_core * node.config.settings.cores
+    assert len(node.runtime._sent) <= 3 * most
+
+
+def test_a_runtime_that_answers_no_gauges_fills_no_memory() -> None:
+    sent = Unproved()
+    for number in range(1000):
+        sent.mark(f"t{number}")
+    assert len(sent._marks) <= 64
+
+
+def test_a_notice_that_is_spoilt_on_its_way_is_asked_for_again(world: dict[str, Any]) -> None:
+    """It counted as taken before: its run never ended for the node, and kept its place on the cores."""
+    runtime, peer = world["runtime"], Peer(world["node"].node)
+    peer.ask(1)
+    runtime.expect(["start", "*", "as", "X"])
+    call = world["names"]["X"]
+    runtime.send(["raw", f'{{"msg":"end","serial":1,"call":"{call}","how":"ok","duration":3,"blob":"?"}}'])
+    runtime.expect(["closed"])
+    runtime.expect(["sync", "0"])  # and not 1
+    runtime.send(["end", call, "ok", "r"])
+    assert peer.answer()[3][0] == b"r"
+
+
+def test_a_notice_that_stays_unreadable_ends_its_run_and_the_link_goes_on(world: dict[str, Any]) -> None:
+    runtime, peer = world["runtime"], Peer(world["node"].node)
+    peer.ask(1)
+    runtime.expect(["start", "*", "as", "X"])
+    call = world["names"]["X"]
+    for _ in range(2):
+        runtime.send(["raw", f'{{"msg":"end","serial":1,"call":"{call}","how":"odd","duration":3}}'])
+        if _ == 0:
+            runtime.expect(["closed"])
+            runtime.expect(["sync", "0"])
+    assert peer.answer()[2][0] == "Error"
+    peer.ask(2)
+    runtime.expect(["start", "*"])
+
+
+class Reloads:
+    """Has a node take up one file after the other."""
+
+    def __init__(self, world: dict[str, Any]) -> None:
+        self.world, self.node = world, world["node"].node
+
+    def read(self, **changes: Any) -> Config:
+        told = platform_config(self.world, **changes)
+        return merge(parse_platform(told, {}), self.node.config.operator)
+
+
+def test_a_reload_for_which_the_owner_has_no_time_changes_nothing_later(
+        world: dict[str, Any], monkeypatch: pytest.MonkeyPatch) -> None:
+    reloads, hold = Reloads(world), threading.Event()
+    node = reloads.node
+    ask = node.core.ask
+    monkeypatch.setattr(node.core, "ask", lambda action, timeout=0.1: ask(action, timeout))
+    node.core.post(Ask(lambda: hold.wait(parties.PATIENCE_S), Future()))
+    try:
+        assert not node.reload(lambda: reloads.read(settings=retuned({"add": "extra"})))
+    finally:
+        hold.set()
+    monkeypatch.setattr(node.core, "ask", ask)
+    assert node.core.ask(lambda: "extra" in node.core.class_names) is False  # behind what was given up
+    assert node.core.figures.told()["sighup_rejected"] == 1
+
+
+def test_a_reload_that_fails_half_way_is_counted_and_said(
+        world: dict[str, Any], monkeypatch: pytest.MonkeyPatch) -> None:
+    reloads = Reloads(world)
+
+    def fails(address: Address) -> None:
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(reloads.node.vault, "move", fails)
+    assert not reloads.node.reload(reloads.read)
+    assert reloads.node.core.figures.told()["sighup_rejected"] == 1
+
+
+def test_many_reloads_behind_a_file_that_can_not_be_read_yet_take_two_threads(world: dict[str, Any]) -> None:
+    reloads, hold = Reloads(world), threading.Event()
+
+    def slow() -> Config:
+        hold.wait(parties.PATIENCE_S)
+        return reloads.read()
+
+    threads = [threading.Thread(target=lambda: reloads.node.reload(slow)) for _ in range(20)]
+    for thread in threads:
+        thread.start()
+    assert soon(lambda: sum(thread.is_alive() for thread in threads) == 2)
+    hold.set()
+    for thread in threads:
+        thread.join()
+    assert reloads.node.core.figures.told()["sighup_applied"] == 2
+
+
+def test_a_class_dropped_just_before_another_reload_is_still_taken(world: dict[str, Any]) -> None:
+    reloads, peer = Reloads(world), Peer(world["node"].node)
+    assert reloads.node.reload(lambda: reloads.read(settings=retuned({"drop": "day-view"})))
+    assert reloads.node.reload(lambda: reloads.read(
+        settings=retuned({"drop": "day-view", "add": "extra"})))
+    peer.ask(1, method="day-view")
+    world["runtime"].expect(["start", "*", "day-view"])
+
+
+def test_a_part_of_a_message_that_went_out_counts_as_sent() -> None:
+    """The vault makes a call again on a False; it may have run."""
+    near, far = socket.socketpair()
+    near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    outbox = Outbox(near, limit=1000)
+    assert outbox.send(b"x" * 1_000_000) is True and outbox.closed
+    assert outbox.send(b"x") is False
+    far.close()
+    outbox.release()
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -58,7 +58,8 @@
         told = settings(SAFE, KEYED, cores=2, memory_kb=5_000.0)
         shares = self.shares = Shares(told.cores, told.memory_kb)
         self.backend = Backend()
-        self.core = Core(told, [], seed, self.backend, clock=Clock(lambda: self.now * 1000), standing=shares)
+        self.core = Core(told, [], seed, self.backend, clock=Clock(*[lambda: self.now * 1000] * 2),
+                         standing=shares)
         self.tenants = Tenants([(tenant("a"), State.ACTIVE), (tenant("b"), State.ACTIVE)], ("safe", "keyed"),
                                lambda backend: None, self.core, shares, frozenset({"runtime"}))
         self.answers: dict[str, list[Answer]] = {}
