Hold a cold node to what its settings allow: in what it tells callers, and in what it holds

Seen on the rig (24 processes, all cold, half of them killed and back cold, 400 requests a second, callers that heed): a node's requests in hand, in the mean of 2 s, were up to 2.26 times N + 2 sqrt(N) + 2, N being what its settings allow on its cores by then. Causes, `choice.py`: `_set_room` told each caller of all the room divided by the callers heard so far (48, then 24, then 16 at one time; a cold node's cores take 15), and nothing at all in the first 100 ms. Change: while it is cold, a node tells all callers of its settings together of no more than N, from its first answer on, and holds no more than N; what comes beyond is refused at once. Warm nodes decide as before.

--- a/reelusher/choice.py
+++ b/reelusher/choice.py
@@ -145,6 +145,8 @@
         if self.began_us < 0:
             self.began_us = self.last_us = now_us
             self.out += [Health(True, True), Timer(PERIOD_US, 0)]
+            if self._cold():
+                self._set_room()  # who is told nothing sends as much as it likes
         self._count_calls()
         for event in events:
             self.react[type(event)](event)
@@ -204,13 +206,20 @@
         elif runnable > CROWDED * self.settings.cores:
             self.cap = max(self.cap - GROWTH, float(self.settings.cores))
 
-    def _ceiling(self) -> float:
-        """The crowd that may run: part of what the cores survive, cold ones by their slowest warming."""
+    def _cold(self) -> bool:
+        """Tell whether the cores may still be cold."""
+        return self.settings.fresh and self.now - self.began_us < self.settings.cold_us
+
+    def _crowd(self) -> float:
+        """The requests on the cores that the settings allow by now, of cold ones by their slowest warming."""
         rules, speed = self.settings, 1.0
-        if rules.fresh and rules.cold_us:
-            warm = (self.now - self.began_us) / rules.cold_us
-            speed = min(1.0, rules.cold_from + (1 - rules.cold_from) * warm)
-        return max(1.0, CROWD_PART * (1 + (rules.crowd_per_core - 1) * speed) * rules.cores)
+        if self._cold():
+            speed = rules.cold_from + (1 - rules.cold_from) * (self.now - self.began_us) / rules.cold_us
+        return (1 + (rules.crowd_per_core - 1) * speed) * rules.cores
+
+    def _ceiling(self) -> float:
+        """The crowd that may run: part of what the cores survive."""
+        return max(1.0, CROWD_PART * self._crowd())
 
     def _set_refusal(self) -> None:
         """Refuse at random when G is at 1 and the oldest age rises; departure: long waits do so at any G."""
@@ -238,15 +247,21 @@
             self.out.append(Health(self.good, True))
 
     def _set_room(self) -> None:
-        """Tell callers how much this worker has room for: less while what arrives or is held waits long."""
+        """Tell callers how much this worker has room for: less while what arrives or is held waits long.
+
+        While it is cold, all of them together are told of no more than its settings allow on its cores, and
+        those not heard yet count too: each was told of all the room there was for those before it.
+        """
         say, cores = self.settings.say, self.settings.cores
         since = self.now - self.settings.heard_us
         self.heard = {caller: when for caller, when in self.heard.items() if when > since}
-        most = ROOM_MOST * cores
+        most, callers = ROOM_MOST * cores, max(len(self.heard), 1)
         self.room = self.room * ROOM_CUT if self.late else min(self.room + ROOM_GROWTH * cores, most)
+        if self._cold():
+            self.room, callers = min(self.room, self._crowd()), max(callers, self.settings.callers)
         if say is not Say.NONE:
             part = self.room / most
-            self.out.append(Advise(self.room / max(len(self.heard), 1) if say is Say.TOKENS
+            self.out.append(Advise(self.room / callers if say is Say.TOKENS
                                    else part if say is Say.BIAS else 1 - part))
 
     def _set_idle(self, connections: float) -> None:
@@ -276,6 +291,8 @@
         if joined:
             self.out.append(Join(request.id))
         full = self._memory() + self.settings.entry_kb * keyed > MEMORY_HOLD * self.settings.memory_kb
+        # what callers were told wears off while they wait, and some heed nothing: no more than that is held
+        full = full or self._cold() and len(self.work) > self._crowd()
         chance = self.refusal ** (max(work.kind.worth, self.lowest) / self.lowest)
         if self.standing and not joined:
             self.standing.arrived(request, self.now)
--- a/reelusher/lab/fleet/account.py
+++ b/reelusher/lab/fleet/account.py
@@ -3,9 +3,11 @@
 Times are seconds on the run's clock, which is 0 as the load begins.
 """
 
+import bisect
 import itertools
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any
 
 from reelusher.lab.fleet.census import Census
@@ -17,6 +19,28 @@
 RECOVERED = 0.95  # of the service of before
 
 
+def windows(spans: list[tuple[float, int]], over_s: float, step_s: float = 0.1) -> list[tuple[float, float]]:
+    """Return the mean of what was held in each window of `over_s` seconds, with the window's beginning.
+
+    `spans` says how much is held, and since when; windows begin `step_s` apart and lie within them.
+    """
+    if not spans:
+        return []
+    starts, sums, total = [spans[0][0]], [0.0], 0.0
+    for (since, held), (until, _) in itertools.pairwise(spans):
+        total += held * (until - since)
+        starts.append(until)
+        sums.append(total)
+
+    def upto(at_s: float) -> float:
+        place = bisect.bisect_right(starts, at_s) - 1
+        return sums[place] + spans[place][1] * (at_s - starts[place])
+
+    count = max(0, int((starts[-1] - starts[0] - over_s) / step_s) + 1)
+    begins = [starts[0] + number * step_s for number in range(count)]
+    return [(at_s, (upto(at_s + over_s) - upto(at_s)) / over_s) for at_s in begins]
+
+
 @dataclass(slots=True)
 class Ask:
     """One request of a client, over all its tries."""
@@ -46,6 +70,7 @@
     ask: Ask
     sent_s: float
     answers: list[str] = field(default_factory=list)
+    ended_s: float = inf  # when its first answer came, or its connection ended
     excused: bool = False  # a fault stood between: whether it was read can't be told
 
 
@@ -139,6 +164,7 @@
     def note_answer(self, now: float, one: Try, verdict: str, body: bytes) -> None:
         """Note an answer to a try."""
         one.answers.append(verdict)
+        one.ended_s = min(one.ended_s, now - self.zero_s)
         if len(one.answers) > 1:
             self.broken.append(f"{one.node} answered {one.call} twice: {', '.join(one.answers)}")
             return
@@ -174,6 +200,7 @@
     def note_ended(self, now: float, one: Try, excused: bool) -> None:
         """Note that a connection ended under a try with no answer."""
         one.excused = one.excused or excused
+        one.ended_s = min(one.ended_s, now - self.zero_s)
         if not one.answers and not one.excused:
             self.broken.append(f"{one.node} closed under {one.call}, "
                                f"written {now - self.zero_s - one.sent_s:.3f} s before")
@@ -193,6 +220,13 @@
 
     # What came of it
 
+    def in_hand(self, node: str) -> list[tuple[float, int]]:
+        """Return how many tries a node had in hand, since when."""
+        steps = sorted([(one.sent_s, 1) for one in self.tries.values() if one.node == node]
+                       + [(one.ended_s, -1) for one in self.tries.values() if one.node == node])
+        return list(zip((at_s for at_s, _ in steps),
+                        itertools.accumulate(change for _, change in steps), strict=True))
+
     def _per_slot(self, times: list[float], slot_s: float) -> list[int]:
         counted: Counter[int] = Counter(int(at / slot_s) for at in times if 0 <= at < self.plan.run.seconds)
         return [counted[number] for number in range(max(1, int(self.plan.run.seconds / slot_s)))]
--- /dev/null
+++ b/tests/test_fleet_ramp.py
@@ -0,0 +1,85 @@
+"""The ramp holds for the fleet: what all processes send together to a cold server stays within its budget.
+
+N is what the settings allow it then. Beyond that 2 sqrt(N) + 2 are put down to chance, in the mean of any
+window of the settings' length: `fall_us` for a node, `calls_over_us` for a service below.
+"""
+
+from math import inf, sqrt
+from pathlib import Path
+from typing import Any
+
+import pytest
+from helpers import SAFE, controller, of
+
+from reelusher import interface as io
+from reelusher.lab.fleet.account import windows
+from reelusher.lab.fleet.plan import parse
+from reelusher.lab.fleet.rig import play
+
+COLD_FROM, COLD_S, CORES, TIP, FALL_S = 0.3, 12.0, 2, 6.0, 2.0
+PLAN: dict[str, Any] = {
+    "run": {"seconds": 6, "rate": 400, "seed": 3},
+    "zones": [{"name": "a", "nodes": 12}, {"name": "b", "nodes": 12}],
+    "classes": [{"name": "look", "share": 0.7, "work_ms": 150, "calls": True, "skip_worth": 0.6},
+                {"name": "book", "share": 0.3, "work_ms": 150, "worth": 4, "effect": "keyed", "calls": True}],
+    "nodes": {"cores": CORES, "starts_cold": True, "cold_from": COLD_FROM, "cold_s": COLD_S},
+    "below": {"slots": 24, "service_ms": 40, "capacity": 36, "most": 400, "over_s": 2.0,
+              "starts_cold": True},
+    "callers": {"heeds": 1.0},
+    "faults": [{"kind": "kill", "of": "part:0.5", "at_s": 2.0, "for_s": 0.3}]}
+
+
+def with_chance(budget: float) -> float:
+    return budget + 2 * sqrt(budget) + 2
+
+
+def crowd(up_s: float) -> float:
+    """Return what the settings allow on a node's cores so long after its start."""
+    speed = min(1.0, COLD_FROM + (1 - COLD_FROM) * up_s / COLD_S)
+    return CORES * (1 + (TIP - 1) * speed)
+
+
+def test_windows_are_means_over_every_stretch_of_their_length() -> None:
+    spans = [(0.0, 0), (1.0, 10), (2.0, 0), (4.0, 0)]
+    means = dict(windows(spans, 1.0, 0.5))
+    assert means == {0.0: 0.0, 0.5: 5.0, 1.0: 10.0, 1.5: 5.0, 2.0: 0.0, 2.5: 0.0, 3.0: 0.0}
+
+
+def test_24_cold_processes_stay_within_what_a_cold_service_and_each_of_them_takes(tmp_path: Path) -> None:
+    """Half of them are killed in the middle, and come back cold with a fresh share."""
+    plan = parse(PLAN)
+    account = play(plan, tmp_path)
+    assert account.broken == []
+    most = max(mean for _, mean in windows(account.held["below"], plan.below.over_s))
+    assert 1 < most <= with_chance(plan.below.capacity)
+    assert account.figures()["falls"] == 0
+    began_s = dict.fromkeys(plan.node_names(), account.start_s) | account.lives
+    for node in plan.node_names():
+        for at_s, mean in windows(account.in_hand(node), FALL_S):
+            up_s = at_s + FALL_S - began_s[node] if at_s >= began_s[node] else inf
+            assert mean <= with_chance(crowd(up_s)), (node, at_s)
+
+
+@pytest.mark.parametrize("callers", [1, 3, 30, 100])
+def test_all_callers_of_a_cold_node_are_told_of_no_more_than_it_takes(callers: int) -> None:
+    """Each was told of all the room that was left for those before it: 48, then 24, then 16 at one time."""
+    cores, heard_us, now = 6, 1_000_000, 0
+    node = controller(SAFE, cores=cores, say=io.Say.TOKENS, fresh=True, heard_us=heard_us, callers=callers)
+    told: dict[int, tuple[int, float]] = {}  # what each was told last, and when
+    value, most = None, 0.0
+    for advise in of(node.out, io.Advise):
+        value = advise.value
+    for step in range(200):  # 2 s in which one caller more is heard at a time, again and again
+        now += 10_000
+        events: list[io.Event] = [io.Request(step + 1, 0, step % callers, 0, 0, 1.0, 1000)]
+        if step % 10 == 9:
+            events.append(io.Tick(0, io.Gauges(0.2, 1.0)))
+        for advise in of(node.handle(now, events), io.Advise):
+            value = advise.value
+        assert value is not None  # who is told nothing sends what it likes
+        told[step % callers] = now, value
+        total = sum(what for when, what in told.values() if when > now - heard_us)
+        speed = 0.3 + 0.7 * now / node.settings.cold_us
+        assert total <= cores * (1 + 5 * speed) + 1e-6, (step, total)
+        most = max(most, total)
+    assert callers == 100 or most > cores  # and there is room for work
