Read out before a connection's time is over, and keep how a machine began over a reload

It is read out first now, as idle ones are; the test puts the two in that order. Also by reading: a reload's `fresh_start` could make a cold node warm, and AJP connections too many were all read out at once (29 of 29).

--- a/reelusher/core/owner.py
+++ b/reelusher/core/owner.py
@@ -219,7 +219,9 @@
             raise ValueError(f"more than {MOST_CLASSES} classes since the start")
         for number, name in enumerate(names):
             self._first_of.setdefault(name, number)
-        self.settings, self.gauges, self.class_names = replace(settings, classes=classes), gauges, names
+        # how its machine began stays as it was: the file of a warm node must not make a cold one warm
+        self.settings = replace(settings, classes=classes, fresh=self.settings.fresh)
+        self.gauges, self.class_names = gauges, names
         self.keys.widen(max(kind.deadline_us for kind in classes))
         self.told.idle_us = settings.idle_us
         self.figures.know(class_names)
--- a/reelusher/fronts/ajp.py
+++ b/reelusher/fronts/ajp.py
@@ -31,6 +31,8 @@
 BODY_MOST_S = 30.0  # and all of it within this
 LEAVE_S = 0.2  # requests that cross the drain's end are still read for this long
 PARTING_S, PARTING_BYTES = 0.2, 1 << 18  # what is still read, unheeded, after a connection's last answer
+MOST_TURNED = 8  # connections past the most that are read out so at once; further ones are closed as they are
+DESCRIPTORS = MOST_TURNED + 2  # the listener, and one that is closed at once
 LONGEST_WAIT_S = 3600.0  # no answer takes as long: the core answers by the due time
 REASONS = {400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout",
            413: "Content Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
@@ -88,6 +90,7 @@
         self._of_tenant: Counter[str] = Counter()  # connections by the tenant of their newest request
         self._in_hand: Counter[str] = Counter()  # requests by tenant
         self._lock = threading.Lock()
+        self._turned = 0  # connections too many that are read out
         self._leaving = self._closed = False
         self._plan: Stages | None = None  # of a drain
         self._owed: tuple[Facts, float] | None = None
@@ -143,9 +146,7 @@
             if not full:
                 self._open[sock] = Place(peer[0], time.monotonic())
         if full:
-            self._core.counters.add("ajp.too_many_connections")
-            with sock:
-                self._part(sock)  # a close over what it has sent by now would be a reset
+            self._turn_away(sock)
             return
         try:
             self._carry(sock)
@@ -159,6 +160,18 @@
                 self._belongs(self._open.pop(sock), "")
             sock.close()
 
+    def _turn_away(self, sock: socket.socket) -> None:
+        """Close a connection too many; over what it has sent by now, a close at once would be a reset."""
+        self._core.counters.add("ajp.too_many_connections")
+        with self._lock:
+            reads_out = self._turned < MOST_TURNED
+            self._turned += reads_out
+        with sock:
+            if reads_out:
+                self._part(sock)
+        with self._lock:
+            self._turned -= reads_out
+
     def _made_room(self, host: str) -> bool:
         """End a connection of whoever has most, if that is not the newcomer; called with the lock held.
 
--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -564,10 +564,14 @@
         begun = connection.partial_since
         if connection.refused_since:
             if now - connection.refused_since > LINGER_S:
-                self._end(connection, heard_out=False)
+                self.read_out(connection)  # on a busy core what it asked may lie there still
+                if not connection.ended:
+                    self._end(connection, heard_out=False)
         elif begun and now - begun > FRAME_S:
-            self._core.counters.add("platform.closed_partial")
-            self._end(connection, heard_out=False)
+            self.read_out(connection)
+            if not connection.ended and connection.partial_since == begun:
+                self._core.counters.add("platform.closed_partial")
+                self._end(connection, heard_out=False)
         elif connection.told_last:
             if idle and now - connection.told_last > (leave_s if connection.heard else SILENT_LEAVE_S):
                 self._close_idle(connection)
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -189,7 +189,8 @@
                 kept += operator.descriptors(self.config.sockets)
         if own:
             from reelusher.admin import api
-            kept += sum(worker.connections for worker in own.workers) + bool(own.ajp)
+            from reelusher.fronts import ajp
+            kept += sum(worker.connections for worker in own.workers) + ajp.DESCRIPTORS * bool(own.ajp)
             kept += (api.DESCRIPTORS + STATE_FILES) * bool(own.admin)
             if own.fleet:
                 from reelusher.fleet.membership import service
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,8 @@
 
 from reelusher.backends import vault
 
+pytest_plugins = ["known_red"]
+
 logger.remove()
 logger.add(lambda line: None, level="DEBUG")
 vault.IDLE_S = 5.0  # a test's steps lie further apart than the calls of a node
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,7 +12,8 @@
 
 import parties
 import pytest
-from helpers import soon
+from helpers import MUST_CALL, SAFE, settings, soon
+from test_core import Backend
 from scenario import platform_config, retuned, standing
 
 from reelusher.backends.runtime import RuntimeLink, Unproved
@@ -20,8 +21,9 @@
 from reelusher.config.load import merge
 from reelusher.config.platform import parse as parse_platform
 from reelusher.core.model import Ask
+from reelusher.core.owner import Core
 from reelusher.drain.ending import unread_bytes
-from reelusher.fronts import platform
+from reelusher.fronts import ajp, platform
 from reelusher.fronts.platform import Connection, PlatformFront
 from reelusher.net import Address, Listener, Outbox
 from reelusher.server import Node
@@ -154,6 +156,27 @@
     assert world["node"].node.counters.snapshot()["requests.read"] == len(busy)
 
 
+@pytest.mark.parametrize("state", ["refused", "half asking"])
+def test_what_lies_unread_when_the_time_of_a_connection_is_over_is_answered(
+        world: dict[str, Any], state: str) -> None:
+    """On a busy core the sweep came before the read."""
+    front, peer, whole = front_of(world), Peer(world["node"].node), asked(1, "health")
+    peer.sock.sendall(whole[:20])
+    connection = only(front)
+    assert soon(lambda: connection.partial_since)
+
+    def late() -> None:
+        if state == "refused":
+            connection.refused_since = time.monotonic() - platform.LINGER_S - 1
+        connection.partial_since = time.monotonic() - platform.FRAME_S - 1
+        peer.sock.sendall(whole[20:])
+        assert soon(lambda: unread_bytes(connection.sock) > 0)
+        front._look_at(connection, time.monotonic(), 100.0, 100.0)
+
+    on_poller(front, late)
+    assert peer.answer()[1] == 1
+
+
 def test_what_comes_behind_too_many_bad_requests_is_refused_and_not_run(world: dict[str, Any]) -> None:
     peer = Peer(world["node"].node)
     peer.sock.sendall(b"".join(asked(number, "no-such-class") for number in range(1, platform.MOST_BAD + 1))
@@ -252,6 +275,28 @@
             worker.join()
 
 
+@pytest.mark.parametrize("world", [{"max_connections": "1"}], indirect=True)
+def test_ajp_connections_too_many_are_read_out_a_few_at_a_time(
+        world: dict[str, Any], monkeypatch: pytest.MonkeyPatch) -> None:
+    front, hold = world["node"].node.fronts["ajp"], threading.Event()
+    parting: list[socket.socket] = []
+
+    def part(sock: socket.socket) -> None:
+        parting.append(sock)
+        hold.wait(parties.PATIENCE_S)
+
+    monkeypatch.setattr(front, "_part", part)
+    webs = [socket.create_connection(front.address, parties.PATIENCE_S) for _ in range(30)]
+    counters = world["node"].node.counters
+    try:
+        assert soon(lambda: counters.snapshot().get("ajp.too_many_connections") == 29)
+        assert len(parting) <= ajp.MOST_TURNED
+    finally:
+        hold.set()
+        for web in webs:
+            web.close()
+
+
 @pytest.mark.parametrize("step_s", [-3600, 3600])
 def test_a_keyed_request_runs_once_though_the_clock_is_stepped_between_its_tries(
         world: dict[str, Any], monkeypatch: pytest.MonkeyPatch, step_s: int) -> None:
@@ -435,3 +480,10 @@
     assert outbox.send(b"x") is False
     far.close()
     outbox.release()
+
+
+def test_the_file_of_a_reload_does_not_make_a_cold_node_warm() -> None:
+    made = Core(settings(SAFE, fresh=True), [], 1, Backend())
+    made.begin()
+    made.retune(settings(SAFE, MUST_CALL, fresh=False), [], ["safe", "must"])
+    assert made.settings.fresh and made._controller._cold()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -112,6 +112,21 @@
         return str(sock.recv(100).split()[1].decode())
 
 
+def started(world: dict[str, Any], number: int) -> parties.Caller:
+    """Ask until a run begins: a node that waits have made late may refuse, but it answers."""
+    until = time.monotonic() + parties.PATIENCE_S
+    while time.monotonic() < until:
+        peer = parties.Caller(world)
+        peer.send([str(number + 1), "slot-search", f"txn={number:016x}a"])
+        while time.monotonic() < until and world["runtime"].came.empty() and peer.came.empty():
+            time.sleep(0.01)
+        if not world["runtime"].came.empty():
+            world["runtime"].expect(["start", f"{number:016x}a"])
+            return peer
+        peer.expect([str(number + 1), "Full"])
+    raise AssertionError("no answer in time")
+
+
 @pytest.mark.parametrize("kind", FILLED)
 def test_idle_callers_fill_what_is_theirs_while_the_catalog_is_down(
         alone: tuple[dict[str, Any], "subprocess.Popen[bytes]", Path], kind: str) -> None:
@@ -126,9 +141,7 @@
         began_s, spent_s = time.monotonic(), cpu_s(process)
         world["runtime"].at_once = False
         for number in range(6):  # new callers are served, with a call below each
-            peer = parties.Caller(world)
-            peer.send([str(number + 1), "slot-search", f"txn={number:016x}a"])
-            world["runtime"].expect(["start", f"{number:016x}a"])
+            peer = started(world, number)
             world["runtime"].send(["wants", f"{number:016x}a", "q"])
             while (came := world["vault"].came.get(timeout=parties.PATIENCE_S)) == "closed":
                 pass  # the connection of the call before
