--- a/reelusher/lab/fleet/model.py
+++ b/reelusher/lab/fleet/model.py
@@ -57,7 +57,7 @@
         self.open: dict[str, tuple[Caller, Try]] = {}
         self.serial, self._turn_s = 0, float("inf")
         made, gauges = settings_from(stage.settings[stage.is_fresh(name)])
-        clock = Clock(lambda: int((EPOCH_S + self.line.time()) * 1e9))
+        clock = Clock(*[lambda: int((EPOCH_S + self.line.time()) * 1e9)] * 2)  # both clocks are the model's
         self.core = ModelCore(made, gauges, seed_of(stage.plan, name) + life, self, self,
                               [kind.name for kind in stage.plan.kinds], clock)
         self.core.hand = self.post
