Wait for a backlog's writer before a connection is shut by half

Found on reading the change again: `_let_go` took a False of `Outbox.shut` for a lost connection and closed it. False also means that the writer of an empty backlog has not gone yet; the close then went out over whatever was unread. The test fails without this (0 connections, not 1).

--- a/reelusher/fronts/platform.py
+++ b/reelusher/fronts/platform.py
@@ -357,9 +357,11 @@
         """End a connection once all that is owed on it has gone out, so that no answer is lost on its way."""
         if connection.owed or connection.outbox.backlog and not connection.outbox.closed:
             return  # the next sweep looks again
-        if connection.heard_out or not connection.outbox.shut():
+        if connection.heard_out:
             self._release(connection)
             return
+        if not connection.outbox.shut():
+            return  # its writer is at its very end: a close now would be a reset
         with self._lock:
             self._connections.pop(connection.sock, None)
         connection.ended = True
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -177,6 +177,19 @@
     assert peer.answer()[1] == 1
 
 
+def test_a_close_that_crosses_the_end_of_a_backlog_waits_for_it(world: dict[str, Any]) -> None:
+    """The backlog is empty, but its writer has not gone yet, so the connection can't be shut by half."""
+    front, peer = front_of(world), Peer(world["node"].node, ask=1)
+    connection = only(front)
+    assert peer.answer()[1] == 1
+    connection.outbox._writer = True
+    on_poller(front, lambda: front._close_idle(connection))
+    assert front.open_connections() == 1
+    connection.outbox._writer = False
+    on_poller(front, lambda: front._close_idle(connection))
+    assert peer.until_end() == [] and front.open_connections() == 0
+
+
 def test_what_comes_behind_too_many_bad_requests_is_refused_and_not_run(world: dict[str, Any]) -> None:
     peer = Peer(world["node"].node)
     peer.sock.sendall(b"".join(asked(number, "no-such-class") for number in range(1, platform.MOST_BAD + 1))
