Let a listener bound what it serves at once, in place of three counts beside it

Read again: the administration API, the fleet's member and AJP's surplus connections each counted under a lock of their own, the first a copy of the second. `Listener(most=...)` does that now, AJP holds a semaphore. What that mends: where no thread was to be had, `_accept` closed the connection and its place was never given back; the new test has that happen three times, then finds both places free. The stand-ins read the socket that they accepted.

--- a/reelusher/admin/api.py
+++ b/reelusher/admin/api.py
@@ -4,7 +4,6 @@
 import hmac
 import json
 import socket
-import threading
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -55,8 +54,8 @@
         if config.token:
             self._tokens.append(Token(OPERATOR, digest(config.token), ""))
         self._parts = parts
-        self._lock, self._open = threading.Lock(), 0
-        self._listener = Listener("admin", config.listen, parts.core.counters, self._serve, self._admit)
+        self._listener = Listener("admin", config.listen, parts.core.counters, self._serve,
+                                  most=MOST_CONNECTIONS)
         self.address = self._listener.address
         self._routes: dict[tuple[str, str, bool], Handler] = {
             ("GET", "workers", False): self._workers, ("GET", "workers", True): self._worker,
@@ -81,20 +80,7 @@
         """Accept no more connections."""
         self._listener.stop()
 
-    def _admit(self, sock: socket.socket) -> bool:
-        with self._lock:
-            free = self._open < MOST_CONNECTIONS
-            self._open += free
-            return free
-
     def _serve(self, sock: socket.socket, peer: Address) -> None:
-        try:
-            self._talk(sock, peer)
-        finally:
-            with self._lock:
-                self._open -= 1
-
-    def _talk(self, sock: socket.socket, peer: Address) -> None:
         decoder = http1.Decoder(MOST_BODY)
         with sock:
             sock.settimeout(TIMEOUT_S)
--- a/reelusher/fleet/membership/service.py
+++ b/reelusher/fleet/membership/service.py
@@ -84,7 +84,6 @@
         self._seal = Seal(read_secret(config.secret_file), config.name, place, life)
         self._lock = threading.Lock()  # of the two above; held for reckoning only, never while waiting
         self._states = Allowance(STATES_PER_S, STATES_AT_ONCE, now)
-        self._askers = 0
         self._stop = threading.Event()
         self._poke = threading.Event()  # there is someone to exchange states with
         self.joined = not self._seeds
@@ -99,7 +98,8 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             try:
                 sock.bind(address)
-                return sock, Listener("fleet", sock.getsockname(), self._counters, self._serve, self._admit)
+                return sock, Listener("fleet", sock.getsockname(), self._counters, self._serve,
+                                      most=MOST_ASKERS)
             except OSError:
                 sock.close()
                 if not left:
@@ -254,13 +254,6 @@
 
     # Full states, over TCP
 
-    def _admit(self, sock: socket.socket) -> bool:
-        with self._lock:
-            if self._askers >= MOST_ASKERS:
-                return False
-            self._askers += 1
-            return True
-
     def _serve(self, sock: socket.socket, peer: Address) -> None:
         """Answer one that asks for all that is known here, unless enough did of late."""
         try:
@@ -278,9 +271,6 @@
                 sock.sendall(_framed(sealed))
         except OSError as error:
             logger.debug("fleet: {}", error)
-        finally:
-            with self._lock:
-                self._askers -= 1
 
     def _state_for(self, asked: StateRequest, now: float) -> StateReply:
         """Take an asker's state and return what it gets."""
--- a/reelusher/fronts/ajp.py
+++ b/reelusher/fronts/ajp.py
@@ -90,7 +90,7 @@
         self._of_tenant: Counter[str] = Counter()  # connections by the tenant of their newest request
         self._in_hand: Counter[str] = Counter()  # requests by tenant
         self._lock = threading.Lock()
-        self._turned = 0  # connections too many that are read out
+        self._turned = threading.BoundedSemaphore(MOST_TURNED)  # held by those too many that are read out
         self._leaving = self._closed = False
         self._plan: Stages | None = None  # of a drain
         self._owed: tuple[Facts, float] | None = None
@@ -163,14 +163,12 @@
     def _turn_away(self, sock: socket.socket) -> None:
         """Close a connection too many; over what it has sent by now, a close at once would be a reset."""
         self._core.counters.add("ajp.too_many_connections")
-        with self._lock:
-            reads_out = self._turned < MOST_TURNED
-            self._turned += reads_out
         with sock:
-            if reads_out:
-                self._part(sock)
-        with self._lock:
-            self._turned -= reads_out
+            if self._turned.acquire(blocking=False):
+                try:
+                    self._part(sock)
+                finally:
+                    self._turned.release()
 
     def _made_room(self, host: str) -> bool:
         """End a connection of whoever has most, if that is not the newcomer; called with the lock held.
--- a/reelusher/net.py
+++ b/reelusher/net.py
@@ -190,10 +190,12 @@
 
     def __init__(self, name: str, address: Address, counters: Counters,
                  serve: Callable[[socket.socket, Address], None] | None = None,
-                 admit: Callable[[socket.socket], bool] = lambda sock: True, shared: bool = False) -> None:
+                 admit: Callable[[socket.socket], bool] = lambda sock: True, shared: bool = False,
+                 most: int = 0) -> None:
         """`admit` is asked by the accepting thread; what it turns away is closed before a thread is spent.
 
-        `shared`: another process of this user may listen there too.
+        `shared`: another process of this user may listen there too. `most` connections are served at once,
+        and further ones are turned away; 0: as many as come.
 
         Without `serve` there is no thread: whoever polls `sock` calls `take`.
         """
@@ -201,6 +203,7 @@
         self._admit = admit
         self._counters = counters
         self._serve = serve
+        self._places = threading.BoundedSemaphore(most) if most else None
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if shared:
@@ -240,7 +243,7 @@
                                     "{}: out of descriptors or memory, accepting rests", self._name)
                 raise Exhausted(*error.args) from None
             return None
-        if not self._admit(sock):
+        if not self._admit(sock) or not (self._places is None or self._places.acquire(blocking=False)):
             self._counters.add(f"{self._name}.turned_away")
             sock.close()
             return None
@@ -249,8 +252,18 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return sock, peer
 
-    def _accept(self) -> None:
+    def _carry(self, sock: socket.socket, peer: Address) -> None:
         assert self._serve is not None
+        try:
+            self._serve(sock, peer)
+        finally:
+            self._free_place()
+
+    def _free_place(self) -> None:
+        if self._places is not None:
+            self._places.release()
+
+    def _accept(self) -> None:
         while True:
             try:
                 taken = self.take()
@@ -264,8 +277,9 @@
             if taken is None:
                 continue
             try:
-                spawn(f"{self._name}-reader", partial(self._serve, *taken))
+                spawn(f"{self._name}-reader", partial(self._carry, *taken))
             except RuntimeError as error:
                 logger.error("{}: no thread for a connection: {}", self._name, error)
                 taken[0].close()
+                self._free_place()
         self.sock.close()
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -59,9 +59,8 @@
         if label:
             self.names[label] = got[1]
 
-    def read(self, decoder: Any, note: Callable[[Any], str | None]) -> None:
+    def read(self, decoder: Any, note: Callable[[Any], str | None], sock: socket.socket | None) -> None:
         """Read a connection to its end in a thread."""
-        sock = self.sock
         assert sock is not None
 
         def work() -> None:
@@ -85,7 +84,7 @@
             self.sock = socket.create_connection(self.world["places"][place], PATIENCE_S,
                                                  (source, 0) if source else None)
             self.sock.settimeout(None)
-            self.read(decoder, note)
+            self.read(decoder, note, self.sock)
         return self.sock
 
     def close(self, words: Words) -> None:
@@ -117,7 +116,7 @@
             if self.one_at_a_time and self.reader is not None:
                 self.reader.join(PATIENCE_S)  # the old link's end is told before the new one's beginning
             self.sock = sock
-            self.read(*self.codec())
+            self.read(*self.codec(), sock)  # not `self.sock`, which a `close` takes away
 
     def codec(self) -> tuple[Any, Callable[[Any], str | None]]:
         raise NotImplementedError
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,10 +16,12 @@
 from test_core import Backend
 from scenario import platform_config, retuned, standing
 
+from reelusher import net
 from reelusher.backends.runtime import RuntimeLink, Unproved
 from reelusher.config import Config
 from reelusher.config.load import merge
 from reelusher.config.platform import parse as parse_platform
+from reelusher.core.counters import Counters
 from reelusher.core.model import Ask
 from reelusher.core.owner import Core
 from reelusher.drain.ending import unread_bytes
@@ -500,3 +502,35 @@
     made.begin()
     made.retune(settings(SAFE, MUST_CALL, fresh=False), [], ["safe", "must"])
     assert made.settings.fresh and made._controller._cold()
+
+
+def test_a_listener_serves_so_many_at_once_and_gives_a_place_back_where_no_thread_is_to_be_had(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    hold, counters = threading.Event(), Counters()
+    served: list[Address] = []
+    failed: list[str] = []
+
+    def serve(sock: socket.socket, peer: Address) -> None:
+        with sock:
+            served.append(peer)
+            hold.wait(parties.PATIENCE_S)
+
+    listener = Listener("some", ("127.0.0.1", 0), counters, serve, most=2)
+    listener.start()
+    start = net.spawn
+
+    def no_thread(name: str, work: Callable[[], object]) -> threading.Thread:
+        failed.append(name)
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(net, "spawn", no_thread)
+    for number in range(3):  # each would keep its place for good
+        with socket.create_connection(listener.address, parties.PATIENCE_S) as sock:
+            assert sock.recv(1) == b"" and len(failed) == number + 1
+    monkeypatch.setattr(net, "spawn", start)
+    socks = [socket.create_connection(listener.address, parties.PATIENCE_S) for _ in range(5)]
+    assert soon(lambda: counters.snapshot().get("some.turned_away") == 3) and len(served) == 2
+    hold.set()
+    listener.stop()
+    for sock in socks:
+        sock.close()
