Let other modules ride on membership's datagrams and answer requests over its exchange

Cause: the replicated table of tenants tells positions to all members and exchanges entries; a wire of its own would be a second set of sockets, seals and threads. Change: Message.vector is the last field (older nodes don't read it, 32 numbers at most), Swim.vector and Swim.heard give and take it, Swim.call pings beside the probes; Membership.ride, call and serve hook them in, and ask takes a time. News and vector share 870 bytes, so that a datagram stays under 1,400 with the longest names; a vector that would push one over is left out.

--- a/reelusher/fleet/membership/messages.py
+++ b/reelusher/fleet/membership/messages.py
@@ -10,6 +10,7 @@
 VERSION = 1
 MOST_DATAGRAM = 1400  # bytes: passes any usual link without being cut into fragments
 MOST_STATE = 1 << 19  # bytes of a full state over TCP
+MOST_VECTOR = 32  # numbers that ride on a datagram
 DIGEST_BYTES = 16
 LEAST_SECRET = 16  # bytes
 WINDOW = 256  # datagrams by which one may overtake another and still be taken
@@ -63,6 +64,7 @@
     seq: Number = 0
     target: Place = ""
     updates: Annotated[list[Update], msgspec.Meta(max_length=64)] = []
+    vector: Annotated[list[Number], msgspec.Meta(max_length=MOST_VECTOR)] = []  # older nodes don't read it
 
 
 class StateRequest(msgspec.Struct, array_like=True, frozen=True, tag="state"):
@@ -100,6 +102,24 @@
     facts: list[Fact]
 
 
+def text_size(text: str) -> int:
+    """Return the most bytes that a text takes on the wire."""
+    return 3 + (len(text) if text.isascii() else len(text.encode()))
+
+
+def number_size(number: int) -> int:
+    """Return the bytes that a number which is not negative takes on the wire."""
+    if number < 1 << 16:
+        return 1 if number < 1 << 7 else 2 if number < 1 << 8 else 3
+    return 5 if number < 1 << 32 else 9
+
+
+def update_size(said: Update) -> int:
+    """Return the most bytes that a piece of news takes on the wire."""
+    return 2 + number_size(said.incarnation) + sum(map(text_size, (
+        said.place, said.name, said.zone, said.region, said.accuser)))
+
+
 class Refused(Exception):
     """What came is not taken; the text is a word for the counters."""
 
--- a/reelusher/fleet/membership/service.py
+++ b/reelusher/fleet/membership/service.py
@@ -5,10 +5,10 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from random import Random
-from typing import Any, TypeVar
+from typing import Any, TypeVar, Union
 
 from loguru import logger
 
@@ -91,6 +91,9 @@
         self._names: list[str] = []
         self._logged_s = self._dropped_s = now
         self.facts: Callable[[], FactsReply] = lambda: FactsReply(False, [])  # what this node has seen
+        # Who answers which kind of request, by a thread of its own each; set before `start`. None: no answer.
+        self.serve: dict[type, Callable[[Any], Any]] = {
+            StateRequest: self._state_for, FactsRequest: lambda asked: self.facts()}
 
     def _bound(self, address: Address) -> tuple[socket.socket, Listener]:
         """Take an address for datagrams and connections; of port 0, one that is free for both."""
@@ -144,6 +147,22 @@
                 "live": size, "namesakes": namesakes,
                 "members": sorted(members, key=lambda member: (member["name"], member["address"]))}
 
+    def ride(self, vector: Callable[[], list[int]], heard: Callable[[str, list[int], float], None]) -> None:
+        """Have each datagram carry what `vector` returns, and tell `heard` the sender, its vector and the time.
+
+        Both are called with the lock of this membership held: they must return at once and not call it.
+        At most `MOST_VECTOR` numbers, none negative.
+        """
+        with self._lock:
+            self._swim.vector, self._swim.heard = vector, heard
+
+    def call(self, places: Iterable[str]) -> None:
+        """Ping members beside the probes, so that each is heard with what rides on its answer."""
+        for place in places:
+            with self._lock:
+                said = self._swim.call(place)
+            self._carry_out(said)
+
     def forget(self, name: str) -> bool | None:
         """Have the fleet forget dead members of a name; False where one lives, None where none is known."""
         now = time.monotonic()
@@ -252,28 +271,29 @@
                 found[own.name] = sorted([own.place, *others])
         return found
 
-    # Full states, over TCP
+    # Requests, over TCP: full states are some of them
 
     def _serve(self, sock: socket.socket, peer: Address) -> None:
-        """Answer one that asks for all that is known here, unless enough did of late."""
+        """Answer one request of a kind that is served."""
         try:
             with sock:
                 sock.settimeout(STATE_S)
                 data = _read_frame(sock)
-                now = time.monotonic()
                 with self._lock:
-                    asked = self._open(data, StateRequest | FactsRequest, MOST_STATE)
-                if asked is None:
+                    asked = self._open(data, Union[tuple(self.serve)], MOST_STATE)
+                reply = self.serve[type(asked)](asked) if asked is not None else None
+                if reply is None:
                     return
-                reply: Any = self.facts() if isinstance(asked, FactsRequest) else self._state_for(asked, now)
                 with self._lock:
                     sealed = self._seal.close(reply)
+                sock.settimeout(STATE_S)
                 sock.sendall(_framed(sealed))
         except OSError as error:
             logger.debug("fleet: {}", error)
 
-    def _state_for(self, asked: StateRequest, now: float) -> StateReply:
+    def _state_for(self, asked: StateRequest) -> StateReply:
         """Take an asker's state and return what it gets."""
+        now = time.monotonic()
         with self._lock:
             said = self._swim.merge(asked.updates, now)
             gives = self._states.take(now)
@@ -297,17 +317,17 @@
             self._carry_out(said)
         return reply
 
-    def ask(self, place: str, request: Any, kind: type[T]) -> T | None:
-        """Ask a member over TCP; None where it can't be reached or does not answer in time."""
+    def ask(self, place: str, request: Any, kind: type[T], within_s: float = STATE_S) -> T | None:
+        """Ask a member over TCP; None where it can't be reached or does not answer within so many seconds."""
         with self._lock:
             data = self._seal.close(request)
         try:
             # from its own address, by which others may tell who comes
             source = (self.address[0], 0)
             with connect(address_of(place, "place"), STATE_S, source) as sock:
-                sock.settimeout(STATE_S)
+                sock.settimeout(within_s)
                 sock.sendall(_framed(data))
-                answer = _read_frame(sock)
+                answer = _read_frame(sock, within_s)
         except (OSError, ConfigError) as error:
             logger.debug("fleet: no answer of {}: {}", place, error)
             return None
@@ -366,16 +386,17 @@
     return len(data).to_bytes(4) + data
 
 
-def _read_frame(sock: socket.socket) -> bytes:
-    size = int.from_bytes(_read(sock, 4))
+def _read_frame(sock: socket.socket, within_s: float = STATE_S) -> bytes:
+    until = time.monotonic() + within_s
+    size = int.from_bytes(_read(sock, 4, until))
     if size > MOST_STATE:
-        raise OSError(f"a state of {size} bytes")
-    return _read(sock, size)
+        raise OSError(f"a frame of {size} bytes")
+    return _read(sock, size, until)
 
 
-def _read(sock: socket.socket, size: int) -> bytes:
-    """Read so many bytes in the time of one exchange, however slowly they come."""
-    made, until = bytearray(), time.monotonic() + STATE_S
+def _read(sock: socket.socket, size: int, until: float) -> bytes:
+    """Read so many bytes until a time, however slowly they come."""
+    made = bytearray()
     while len(made) < size:
         sock.settimeout(max(0.001, until - time.monotonic()))
         data = sock.recv(min(1 << 16, size - len(made)))
--- a/reelusher/fleet/membership/swim.py
+++ b/reelusher/fleet/membership/swim.py
@@ -4,14 +4,15 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from math import inf, log, log2
 from random import Random
 
 from msgspec.structs import replace
 
-from reelusher.fleet.membership.messages import Kind, Message, State, Update
+from reelusher.fleet.membership.messages import (
+    Kind, Message, State, Update, number_size, update_size)
 from reelusher.fleet.membership.table import Change, Table
 
 PERIOD_S = 0.4  # between probes of one node; each member is probed by someone about that often
@@ -21,8 +22,8 @@
 GOSSIP_S = 0.1  # between rounds of gossip, which there are only while there is news
 FANOUT = 4  # members that a round goes to
 SPREAD = 4  # times log2 of the size: how often one piece of news is sent on
-MOST_NEWS = 16  # pieces in one datagram: they stay under its size with the longest names that are usual
-NEWS_BYTES = 1000  # and under this, by the length of names
+MOST_NEWS = 16  # pieces in one datagram
+NEWS_BYTES = 870  # that they and the vector take: with the longest names all else takes 520
 CONFIRM = 3  # further accusers that bring a suspicion to its shortest time
 SUSPECT_S = 0.5  # the shortest time of a suspicion, to which comes
 SUSPECT_LOG_S = 0.05  # so much for each doubling of the fleet: news of it must get there and back
@@ -64,6 +65,7 @@
     """A piece that is being sent on."""
 
     said: Update
+    size: int  # bytes on the wire, at most
     sent: int = 0
 
 
@@ -84,6 +86,8 @@
         self.health = 0  # 0 is well; Lifeguard's local health multiplier less one
         self.refuted = 0
         self.stalls = 0
+        self.vector: Callable[[], list[int]] = list  # asked for what rides on each datagram
+        self.heard: Callable[[str, list[int], float], None] = lambda sender, vector, now: None
         self.sync_with: set[str] = set()  # members to exchange full states with: there is much to tell
         self._probe: Probe | None = None
         self._relayed: dict[int, Relayed] = {}
@@ -259,33 +263,41 @@
         return int(SPREAD * log2(self.size() + 1)) + 1
 
     def _spread(self, said: Update) -> None:
-        self._news[said.place] = News(said)
+        self._news[said.place] = News(said, update_size(said))
 
-    def _pick_news(self, to: str) -> list[Update]:
+    def _pick_news(self, to: str, left: int) -> list[Update]:
         """Return what is to be told: what concerns the one spoken to first, then what was told least."""
         about = self.table.members.get(to)
         told = [about.said] if about is not None and about.said.state is not State.ALIVE else []
-        left, limit = NEWS_BYTES, self._limit()
+        left -= sum(map(update_size, told))
+        limit = self._limit()
         for place, news in sorted(self._news.items(), key=lambda item: item[1].sent):
-            if len(told) >= MOST_NEWS or left < 0:
+            if len(told) >= MOST_NEWS or told and left < news.size:
                 break
             if place != to or news.said.state is State.ALIVE:
                 told.append(news.said)
-                left -= 30 + sum(map(len, (place, news.said.name, news.said.zone, news.said.region,
-                                           news.said.accuser)))
+                left -= news.size
             news.sent += 1
             if news.sent >= limit:
                 del self._news[place]
         return told
 
     def _send(self, to: str, kind: Kind, seq: int = 0, target: str = "") -> None:
-        self._said.out.append((to, Message(kind, self.own.place, seq, target, self._pick_news(to))))
+        vector = self.vector()
+        left = NEWS_BYTES - sum(map(number_size, vector))
+        self._emit(to, kind, seq, target, self._pick_news(to, left), vector)
+
+    def _emit(self, to: str, kind: Kind, seq: int, target: str, told: list[Update],
+              vector: list[int]) -> None:
+        if vector and sum(map(number_size, vector)) + sum(map(update_size, told)) > NEWS_BYTES:
+            vector = []  # one piece with names as long as they may be
+        self._said.out.append((to, Message(kind, self.own.place, seq, target, told, vector)))
 
     def _gossip(self, now: float) -> None:
         self._next_gossip_s = now + GOSSIP_S * self.random.uniform(0.9, 1.1)
         for _ in range(min(TELLS, len(self._tells))):
             said = self._tells.popleft()
-            self._said.out.append((said.place, Message(Kind.GOSSIP, self.own.place, updates=[said])))
+            self._emit(said.place, Kind.GOSSIP, 0, "", [said], self.vector())
         if self._news:
             for to in self.table.some(FANOUT):
                 self._send(to, Kind.GOSSIP)
@@ -337,6 +349,8 @@
         sender = self.table.members.get(message.sender)
         if sender is not None and not sender.here and sender.said.state is State.DEAD:
             self.sync_with.add(message.sender)  # it lives: there is a side that this one has not heard of
+        if message.vector:
+            self.heard(message.sender, message.vector, now)
         for said in message.updates:
             self._learn(said, now)
         match message.kind:
@@ -385,12 +399,18 @@
 
     # What operators and the node want
 
+    def call(self, place: str) -> Said:
+        """Ping a member beside the probes: its answer carries its vector, and nobody is blamed for none."""
+        self._seq += 1
+        self._send(place, Kind.PING, self._seq)
+        return self._took()
+
     def leave(self) -> Said:
         """Say that this member leaves; told to enough that it gets round, since nothing follows."""
         self.own = replace(self.own, state=State.LEFT)
         self._spread(self.own)
         for to in self.table.some(FANOUT * 3):
-            self._said.out.append((to, Message(Kind.GOSSIP, self.own.place, updates=[self.own])))
+            self._emit(to, Kind.GOSSIP, 0, "", [self.own], self.vector())
         return self._took()
 
     def forget(self, place: str, now: float) -> Said | None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,16 +7,20 @@
 from random import Random
 from typing import Any
 
+import msgspec
 import pytest
 from helpers import soon
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from reelusher.config import ConfigError
 from reelusher.config.operator import Fleet
 from reelusher.core.counters import Counters
+from reelusher.fleet.membership import service
 from reelusher.fleet.membership.messages import (
-    MOST_DATAGRAM, WINDOW, Kind, Message, Refused, Seal, Senders, State, StateReply, Update)
+    MOST_DATAGRAM, MOST_VECTOR, WINDOW, Kind, Message, Refused, Seal, Senders, State, StateReply,
+    StateRequest, Update)
 from reelusher.fleet.membership.service import Allowance, Membership, read_secret
 from reelusher.fleet.membership.swim import PERIOD_S, Swim
 from reelusher.fleet.membership.table import Table
@@ -79,6 +83,67 @@
     assert [said(2, 1, State.DEAD)] in told
 
 
+def test_a_vector_rides_on_each_datagram_and_is_told_to_who_listens() -> None:
+    swim, came = Swim(said(1), Random(1), 0.0), list[tuple[str, list[int], float]]()
+    swim.merge([said(2)], 0.0)
+    swim.vector = lambda: [7, 1, 40]
+    swim.heard = lambda *told: came.append(told)
+    out = swim.tick(0.5).out + swim.call("127.0.0.1:2").out + swim.leave().out
+    assert {message.kind for _, message in out} == {Kind.PING, Kind.GOSSIP}
+    assert all(message.vector == [7, 1, 40] for _, message in out)
+    other = Swim(said(2), Random(2), 0.0)
+    other.heard = lambda *told: came.append(told)
+    answer = other.receive(swim.call("127.0.0.1:2").out[0][1], 0.25).out
+    assert [(to, message.kind, message.vector) for to, message in answer] == [("127.0.0.1:1", Kind.ACK, [])]
+    assert came == [("127.0.0.1:1", [7, 1, 40], 0.25)]
+    swim.receive(answer[0][1], 0.3)
+    assert len(came) == 1  # one without a vector is not told of
+
+
+def test_a_call_that_is_not_answered_blames_nobody() -> None:
+    swim = Swim(said(1), Random(1), 0.0)
+    swim.merge([said(2)], 0.0)
+    swim.call("127.0.0.1:2")
+    assert swim.health == 0 and swim.table.members["127.0.0.1:2"].said.state is State.ALIVE
+
+
+def test_a_node_that_knows_no_vector_reads_a_datagram_that_has_one() -> None:
+    class Older(msgspec.Struct, array_like=True, frozen=True):
+        kind: Kind
+        sender: str
+        seq: int = 0
+        target: str = ""
+        updates: list[Update] = []
+
+    message = Message(Kind.PING, "127.0.0.1:1", 3, updates=[said(2)], vector=[1, 2])
+    data = msgspec.msgpack.encode(message)
+    assert msgspec.msgpack.decode(data, type=Older) == Older(Kind.PING, "127.0.0.1:1", 3, "", [said(2)])
+    older = msgspec.msgpack.encode(Older(Kind.PING, "127.0.0.1:1"))
+    assert msgspec.msgpack.decode(older, type=Message).vector == []
+    long = msgspec.msgpack.encode(Message(Kind.PING, "x", vector=[0] * (MOST_VECTOR + 1)))
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(long, type=Message)
+
+
+@given(st.lists(st.tuples(*[st.text(max_size=64)] * 3, st.integers(0, (1 << 63) - 1)), max_size=30),
+       st.lists(st.integers(0, (1 << 63) - 1), max_size=MOST_VECTOR), st.text(max_size=64))
+@settings(max_examples=150)
+def test_no_vector_pushes_a_datagram_over_its_size(
+        members: list[tuple[str, str, str, int]], vector: list[int], fleet: str) -> None:
+    own = Update("1" * 58 + ":65535", "n" * 64, "z" * 64, "r" * 64, 1, State.ALIVE)
+    swim = Swim(own, Random(1), 0.0)
+    swim.vector = lambda: vector
+    sealed = Seal(SECRET, fleet, own.place, (1 << 62))
+    swim.merge([Update(f"{number:058}:65535", name, zone, region, incarnation, State.ALIVE)
+                for number, (name, zone, region, incarnation) in enumerate(members)], 0.0)
+    for step in range(1, 60):
+        for _, message in swim.tick(step / 10).out:
+            without = len(sealed.close(replace(message, vector=[])))
+            assert len(sealed.close(message)) <= max(MOST_DATAGRAM, without)
+            # only the longest names in characters of four bytes each pass the size, by themselves
+            assert without <= MOST_DATAGRAM or len(message.updates) == 1
+
+
 # On a virtual clock
 
 
@@ -263,6 +328,49 @@
     json.dumps(first.status())
 
 
+class Question(msgspec.Struct, array_like=True, frozen=True, tag="question"):
+    sender: str
+    text: str
+
+
+class Answer(msgspec.Struct, array_like=True, frozen=True):
+    text: str
+
+
+def test_other_modules_ride_on_datagrams_call_members_and_answer_requests_of_their_own(
+        start: Callable[..., Membership]) -> None:
+    first, heard = start("a", []), dict[str, list[int]]()
+    second = start("b", [first])
+    assert soon(lambda: names(first) == names(second) == ["a", "b"])
+    at_first, at_second = (one.live()[0].place for one in (first, second))
+    first.serve[Question] = lambda asked: Answer(asked.text[::-1]) if asked.text else None
+    assert second.ask(at_first, Question(at_second, "abc"), Answer) == Answer("cba")
+    assert second.ask(at_first, Question(at_second, ""), Answer) is None
+    assert first.ask(at_second, Question(at_first, "abc"), Answer) is None  # it answers none of that kind
+    assert second._counters.snapshot()["fleet.refused_malformed"] == 1
+    reply = second.ask(at_first, StateRequest(at_second, []), StateReply)
+    assert reply is not None and {said.name for said in reply.updates} == {"a", "b"}
+    first.ride(lambda: [1, 2, 3], lambda *told: None)
+    second.ride(list, lambda sender, vector, now: heard.update({sender: vector}))
+    second.call([at_first])
+    assert soon(lambda: heard == {at_first: [1, 2, 3]})
+
+
+def test_an_answer_may_take_as_long_as_the_asker_waits(start: Callable[..., Membership],
+                                                       monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service, "STATE_S", 0.2)
+    first, second = start("a", []), start("b", [])
+
+    def answer(asked: Question) -> Answer:
+        time.sleep(0.5)
+        return Answer("late")
+
+    second.serve[Question] = answer
+    at, asked = second.live()[0].place, Question("x", "")
+    assert first.ask(at, asked, Answer, 5.0) == Answer("late")
+    assert first.ask(at, asked, Answer, 0.1) is None
+
+
 def test_a_node_with_another_secret_is_not_heard_and_harms_no_one(start: Callable[..., Membership]) -> None:
     first = start("a", [])
     stranger, friend = start("x", [first], "other"), start("b", [first])
