--- a/reelusher/fleet/membership/service.py
+++ b/reelusher/fleet/membership/service.py
@@ -6,9 +6,11 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable
+from functools import reduce
+from operator import or_
 from pathlib import Path
 from random import Random
-from typing import Any, TypeVar, Union
+from typing import Any, TypeVar
 
 from loguru import logger
 
@@ -148,7 +150,7 @@
                 "members": sorted(members, key=lambda member: (member["name"], member["address"]))}
 
     def ride(self, vector: Callable[[], list[int]], heard: Callable[[str, list[int], float], None]) -> None:
-        """Have each datagram carry what `vector` returns, and tell `heard` the sender, its vector and the time.
+        """Have each datagram carry what `vector` returns; tell `heard` the sender, its vector and the time.
 
         Both are called with the lock of this membership held: they must return at once and not call it.
         At most `MOST_VECTOR` numbers, none negative.
@@ -280,7 +282,7 @@
                 sock.settimeout(STATE_S)
                 data = _read_frame(sock)
                 with self._lock:
-                    asked = self._open(data, Union[tuple(self.serve)], MOST_STATE)
+                    asked = self._open(data, reduce(or_, self.serve), MOST_STATE)
                 reply = self.serve[type(asked)](asked) if asked is not None else None
                 if reply is None:
                     return
