--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -96,7 +96,8 @@
         table.take(said(number, 1, State.LEFT), 9000.0)
     assert len(table.members) == MOST_MEMBERS and not table.refused
     assert table.take(said(1, 1, State.DEAD), 9001.0) is not None  # known before
-    for number, state, refused in [(20_000, State.DEAD, 1), (20_001, State.ALIVE, 1), (20_002, State.LEFT, 2)]:
+    for number, state, refused in [
+            (20_000, State.DEAD, 1), (20_001, State.ALIVE, 1), (20_002, State.LEFT, 2)]:
         assert (table.take(said(number, 1, state), 9001.0) is None) is (state is not State.ALIVE)
         assert table.refused == refused
     assert len(table.members) == MOST_MEMBERS and said(3600).place not in table.members
