Read and check [replication], which names the copy of the table of tenants and who writes it

Cause: tenants of a large fleet are to be one replicated table; each node must know its file and the members that write it, and nothing else may say which tenants there are. Change: [replication] with copy and control (1 to 8 names); tenants, admin.state_dir, state_file and durable_keys are refused beside it, and without [fleet] only the node itself may write.

--- a/reelusher/config/load.py
+++ b/reelusher/config/load.py
@@ -27,6 +27,9 @@
 
 def merge(told: platform.Platform | None, own: operator.Operator | None) -> Config:
     """Let the platform's word stand where both say something."""
+    name = told.name if told else own.name if own else ""
+    if own and own.replication and not own.fleet and own.replication.control != (name,):
+        raise ConfigError("replication.control", f"without [fleet] it can name this node only, {name}")
     if told is not None:
         return Config(told, own, told.name, told.seed, told.stop_ms, told.limits.memory_mb,
                       told.limits.sockets, told.settings,
--- a/reelusher/config/operator.py
+++ b/reelusher/config/operator.py
@@ -16,6 +16,7 @@
 UNIT_BITS = 1074  # every float is a whole multiple of 2 to the power of -1074 (IEEE 754)
 ACTIVATIONS = ("active", "disabled", "stopped")
 LONGEST_LABEL = 64  # characters of a fleet's name, a zone and a region: they go into each datagram
+MOST_CONTROL = 8  # members that write the replicated table: each datagram tells how far each of them is
 GAUGES = ["busy", "runnable", "memory", "connections"]  # that workers report, in this order
 
 
@@ -160,6 +161,14 @@
     secret_file: str
 
 
+@dataclass(slots=True, frozen=True)
+class Replication:
+    """The table of tenants that all nodes of a fleet have a copy of."""
+
+    copy: str  # file of this node's copy
+    control: tuple[str, ...]  # names of the members that write it, the same list on every node
+
+
 @dataclass(slots=True, frozen=True)
 class Operator:
     """All that an operator's file says."""
@@ -172,6 +181,7 @@
     ajp: Ajp | None
     admin: Admin | None
     fleet: Fleet | None
+    replication: Replication | None  # None: the tenants are this node's own
     workers: tuple[Worker, ...]
     balancers: tuple[Balancer, ...]
     tenants: tuple[Tenant, ...]
@@ -234,6 +244,31 @@
     return Fleet(labels[0], listen, advertise, seeds, labels[1], labels[2], table.text("secret_file"))
 
 
+def _read_replication(table: Table) -> Replication:
+    table.only("copy", "control")
+    made = Replication(table.text("copy"), table.texts("control"))
+    if not 1 <= len(made.control) <= MOST_CONTROL:
+        raise ConfigError(table.path("control"), f"1 to {MOST_CONTROL} names are wanted")
+    for place, name in enumerate(made.control):
+        if len(name) > LONGEST_LABEL or "/" in name:  # it stands in paths of the administration API
+            raise ConfigError(f"{table.path('control')}[{place}]",
+                              f"a member's name of at most {LONGEST_LABEL} characters is wanted, without /")
+    _distinct(table.path("control"), list(made.control))
+    return made
+
+
+def _alone_in(replication: Replication, admin: Admin | None, tenants: tuple[Tenant, ...]) -> None:
+    """Refuse what else would say which tenants there are: they are in the replicated table only."""
+    if tenants:
+        raise ConfigError("tenants", "with [replication] they are added through the administration API")
+    if admin and admin.state_file:
+        raise ConfigError("admin.state_file", f"with [replication] tenants are kept in {replication.copy}")
+    if admin and admin.durable_keys:
+        raise ConfigError("admin.durable_keys", "keys over a restart are not kept with [replication] so far")
+    if admin and admin.state_dir:
+        raise ConfigError("admin.state_dir", f"with [replication] tenants are kept in {replication.copy}")
+
+
 def _ip(address: Address, key: str) -> Address:
     """Take an address of numbers only: looking a name up could hold up all that is due."""
     try:
@@ -368,7 +403,8 @@
 def parse(value: Any, class_names: tuple[str, ...] = (), has_runtime: bool = False) -> Operator:
     """Check an operator's file. The class names are the platform's, which go before the file's own."""
     table = Table(value)
-    table.only("node", "ajp", "admin", "fleet", "classes", "capacity", "workers", "balancers", "tenants")
+    table.only("node", "ajp", "admin", "fleet", "replication", "classes", "capacity", "workers", "balancers",
+               "tenants")
     node = table.table("node")
     node.only("name", "seed", "stop_ms", "memory_mb", "sockets")
     settings, own_names = _read_settings(table)
@@ -388,13 +424,18 @@
     _distinct("tenants", [one.name for one in tenants])
     if over_guaranteed(tenants):
         raise ConfigError("tenants", "the guarantees of all shares add up to more than 1")
+    admin = _read_admin(table.table("admin")) if "admin" in table else None
+    replication = _read_replication(table.table("replication")) if "replication" in table else None
+    if replication:
+        _alone_in(replication, admin, tenants)
     return Operator(
         name=node.text("name", "reelusher"), seed=seed_of(node.text("seed", "1"), "node.seed"),
         stop_ms=node.whole("stop_ms", 10_000, least=100), memory_mb=node.number("memory_mb", 192.0, 16),
         sockets=node.whole("sockets", 1024, 64, 1 << 20),
         ajp=_read_ajp(table.table("ajp")) if "ajp" in table else None,
-        admin=_read_admin(table.table("admin")) if "admin" in table else None,
+        admin=admin,
         fleet=_read_fleet(table.table("fleet")) if "fleet" in table else None,
+        replication=replication,
         workers=workers, balancers=balancers, tenants=tenants, settings=None if class_names else settings,
         class_names=names)
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -21,6 +21,7 @@
 from reelusher.backends import vault
 from reelusher.backends.runtime import Unproved
 from reelusher.config import ConfigError, load
+from reelusher.config.load import merge
 from reelusher.config.operator import parse as parse_operator
 from reelusher.config.platform import parse as parse_platform
 from reelusher.core.clock import Clock
@@ -155,6 +156,47 @@
         parse_operator(changed(OPERATOR, path, value))
 
 
+REPLICATED = changed({**OPERATOR, "replication": {"copy": "tenants.db", "control": ["c1", "c2"]}},
+                     "tenants", None)
+
+
+@pytest.mark.parametrize(("path", "value", "named"), [
+    ("replication.copy", None, "replication.copy"), ("replication.control", None, "replication.control"),
+    ("replication.copy", "", "replication.copy"), ("replication.bogus", 1, "replication.bogus"),
+    ("replication.control", [], "replication.control"), ("replication", ["c1"], "replication"),
+    ("replication.control", "c1", "replication.control"),
+    ("replication.control", [f"c{number}" for number in range(9)], "replication.control"),
+    ("replication.control", ["c1", "c1"], "replication.control"),
+    ("replication.control", ["c1", "c" * 65], r"replication.control\[1\]"),
+    ("replication.control", ["a/b"], r"replication.control\[0\]"),
+    ("tenants", OPERATOR["tenants"], "tenants"), ("admin.state_dir", "state", "admin.state_dir"),
+    ("admin.state_file", "state.json", "admin.state_file"),
+])
+def test_a_fault_in_the_replication_of_an_operators_file_is_named(path: str, value: Any, named: str) -> None:
+    made = parse_operator(REPLICATED).replication
+    assert made is not None and (made.copy, made.control) == ("tenants.db", ("c1", "c2"))
+    with pytest.raises(ConfigError, match=f"^{named}: "):
+        parse_operator(changed(REPLICATED, path, value))
+
+
+def test_with_replication_keys_can_not_be_durable_so_far() -> None:
+    with pytest.raises(ConfigError, match="^admin.durable_keys: "):
+        parse_operator(changed(changed(REPLICATED, "admin.state_dir", "state"), "admin.durable_keys", True))
+
+
+@pytest.mark.parametrize(("control", "fits"), [
+    (["n1"], True), (["own"], False), (["n1", "own"], False)])
+def test_without_a_fleet_only_the_node_itself_can_write_the_table(control: list[str], fits: bool) -> None:
+    """The platform's name for the node goes before the operator's."""
+    table = changed(changed(REPLICATED, "fleet", None), "replication.control", control)
+    own = parse_operator(changed(table, "node.name", "own"), ("book",))
+    if fits:
+        assert merge(parse_platform(PLATFORM, {}), own).operator is own
+    else:
+        with pytest.raises(ConfigError, match="^replication.control: "):
+            merge(parse_platform(PLATFORM, {}), own)
+
+
 def test_the_example_of_an_operators_file_is_valid() -> None:
     made = parse_operator(tomllib.loads((ROOT / "deploy" / "operator.toml").read_text()))
     assert made.ajp and made.admin and made.tenants and made.settings
