Put a protocol between the administration API and where tenants are kept

Cause: the API reads the store's state as a dict of all tenants, which a replicated table has not. Change: TenantTable (kept, made_by, audit, change, changing) in tenancy/store.py, which Store is; ETags carry a version rather than a revision, with the same text as before. Nothing else changes for a caller.

--- a/reelusher/admin/api.py
+++ b/reelusher/admin/api.py
@@ -21,7 +21,7 @@
 from reelusher.tenancy.durable.journal import Broken
 from reelusher.tenancy.lifecycle import WrongState
 from reelusher.tenancy.registry import Tenants
-from reelusher.tenancy.store import Store
+from reelusher.tenancy.store import TenantTable
 from reelusher.wire import http1
 
 if TYPE_CHECKING:
@@ -39,7 +39,7 @@
 
     core: Core
     tenants: Tenants
-    store: Store
+    table: TenantTable
     pool: Pool
     status: Callable[[], dict[str, Any]]
     drain: Callable[[], bool]  # False: it drains already
@@ -64,7 +64,7 @@
             ("GET", "openapi.json", False): lambda asked: Reply(200, openapi.document()),
             ("POST", "drain", False): self._drain,
             ("GET", "fleet", False): self._fleet, ("POST", "fleet/forget", True): self._forget,
-            **TenantApi(parts.core, parts.tenants, parts.store).routes}
+            **TenantApi(parts.core, parts.tenants, parts.table).routes}
 
     def routes(self) -> set[tuple[str, str]]:
         """Return what is answered, as method and path."""
--- a/reelusher/admin/tenant_api.py
+++ b/reelusher/admin/tenant_api.py
@@ -1,7 +1,7 @@
 """Tenants over the administration API: what each call asks for, checks and changes.
 
 A change is checked, made durable and applied while no other change can come in between. Each tenant has a
-revision, the number of the change that made it as it is; `ETag` and `If-Match` carry it.
+version, which tells of the change that made it as it is; `ETag` and `If-Match` carry it.
 """
 
 from collections.abc import Callable, Mapping
@@ -10,10 +10,10 @@
 
 from reelusher.config.operator import Tenant
 from reelusher.core.owner import Core
-from reelusher.tenancy.durable.state import Kept, shown
+from reelusher.tenancy.durable.state import Kept, Standing, shown
 from reelusher.tenancy.lifecycle import DRAIN_US, State, WrongState
 from reelusher.tenancy.registry import Tenants
-from reelusher.tenancy.store import Store
+from reelusher.tenancy.store import TenantTable
 
 MOST_WITHIN_MS = 3_600_000  # a tenant that is removed is gone by then at the latest
 MOST_PAGE = 1000
@@ -82,10 +82,10 @@
 class TenantApi:
     """The calls that have to do with tenants, by method, kind and whether a name is given."""
 
-    def __init__(self, core: Core, tenants: Tenants, store: Store) -> None:
+    def __init__(self, core: Core, tenants: Tenants, table: TenantTable) -> None:
         self._core = core
         self._tenants = tenants
-        self._store = store
+        self._table = table
         self.routes: dict[tuple[str, str, bool], Handler] = {
             ("GET", "tenants", False): self._list, ("POST", "tenants", False): self._create,
             ("GET", "tenants", True): self._show, ("PUT", "tenants", True): self._replace,
@@ -105,7 +105,7 @@
         entry = self._tenants.entry(asked.name)
         if entry is None:
             raise self._nobody(asked.name)
-        kept = self._store.state.tenants.get(asked.name)
+        kept = self._table.kept(asked.name)
         return Reply(200, self._tenants.shown(entry), _tag(kept))
 
     def _usage(self, asked: Asked) -> Reply:
@@ -116,7 +116,7 @@
 
     def _audit(self, asked: Asked) -> Reply:
         limit, after = asked.whole("limit", 100, MOST_PAGE, 1), asked.whole("after", 0, 1 << 53)
-        trail = [one for one in list(self._store.state.audit) if one.number > after]
+        trail = self._table.audit(after, limit + 1)
         page = trail[:limit]
         more = {"next": page[-1].number} if len(trail) > limit else {}
         return Reply(200, {"changes": [{
@@ -129,8 +129,8 @@
         key = asked.headers.get("idempotency-key", "")
         if len(key) > MOST_KEY:
             raise Refused(400, f"more than {MOST_KEY} characters", "Idempotency-Key")
-        with self._store.changing():
-            made_before = self._store.state.keys.get(key) if key else None
+        with self._table.changing():
+            made_before = self._table.made_by(key) if key else None
             tenant = self._tenants.read(asked.value)
             if made_before is not None:
                 return self._again(made_before, tenant)
@@ -138,13 +138,13 @@
                 raise Refused(409, f"a tenant is named {tenant.name!r} already", "name")
             if asked.dry:
                 return _would(None, Kept(tenant.to_json(), State.ACTIVE.value, 0))
-            kept = self._store.change("put", tenant.name, asked.who, tenant.to_json(), key=key)
+            kept = self._table.change("put", tenant.name, asked.who, tenant.to_json(), key=key)
             self._core.ask(lambda: self._tenants.put(tenant))
             return Reply(201, shown(kept), _tag(kept))
 
     def _again(self, name: str, tenant: Tenant) -> Reply:
         """Answer a call whose key made a tenant before: as then, if it still asks for the same."""
-        kept = self._store.state.tenants.get(name)
+        kept = self._table.kept(name)
         if tenant.name != name:
             raise Refused(422, f"this key was used to make {name!r}", "Idempotency-Key")
         if kept is None:
@@ -152,22 +152,22 @@
         return Reply(201, shown(kept), {**_tag(kept), "Idempotent-Replayed": "true"})
 
     def _replace(self, asked: Asked) -> Reply:
-        with self._store.changing():
-            self._current(asked)
-            return self._put(asked, self._tenants.read(asked.value, asked.name))
+        with self._table.changing():
+            before = self._current(asked)
+            return self._put(asked, before, self._tenants.read(asked.value, asked.name))
 
     def _patch(self, asked: Asked) -> Reply:
         if not isinstance(asked.value, dict):
             raise Refused(400, "a merge patch is an object")
-        with self._store.changing():
-            kept = self._current(asked)
-            return self._put(asked, self._tenants.read(merged(kept.tenant, asked.value), asked.name))
+        with self._table.changing():
+            before = self._current(asked)
+            patched = merged(before.tenant, asked.value)
+            return self._put(asked, before, self._tenants.read(patched, asked.name))
 
-    def _put(self, asked: Asked, tenant: Tenant) -> Reply:
-        before = self._store.state.tenants[asked.name]
+    def _put(self, asked: Asked, before: Standing, tenant: Tenant) -> Reply:
         if asked.dry:
-            return _would(before, Kept(tenant.to_json(), before.state, before.revision))
-        kept = self._store.change("put", asked.name, asked.who, tenant.to_json())
+            return _would(before, Kept(tenant.to_json(), before.state, 0))
+        kept = self._table.change("put", asked.name, asked.who, tenant.to_json())
         self._core.ask(lambda: self._tenants.put(tenant))
         return Reply(200, shown(kept), _tag(kept))
 
@@ -178,33 +178,33 @@
         return self._move(asked, State.ACTIVE)
 
     def _move(self, asked: Asked, to: State) -> Reply:
-        with self._store.changing():
+        with self._table.changing():
             before = self._current(asked)
             if asked.dry:
-                return _would(before, Kept(before.tenant, to.value, before.revision))
-            kept = self._store.change("state", asked.name, asked.who, state=to.value)
+                return _would(before, Kept(before.tenant, to.value, 0))
+            kept = self._table.change("state", asked.name, asked.who, state=to.value)
             self._core.ask(lambda: self._tenants.move(asked.name, to))
             return Reply(200, shown(kept), _tag(kept))
 
     def _delete(self, asked: Asked) -> Reply:
         within_us = asked.whole("within_ms", DRAIN_US // 1000, MOST_WITHIN_MS) * 1000
-        with self._store.changing():
+        with self._table.changing():
             entry = self._tenants.entry(asked.name)
             if entry is None or entry.state is not State.DRAINING:
                 before = self._current(asked)
                 if asked.dry:
                     return _would(before, None)
-                self._store.change("remove", asked.name, asked.who)
+                self._table.change("remove", asked.name, asked.who)
             self._core.ask(lambda: self._tenants.delete(asked.name, within_us))
         left = self._tenants.entry(asked.name)
         return Reply(204) if left is None else Reply(202, self._tenants.shown(left))
 
-    def _current(self, asked: Asked) -> Kept:
+    def _current(self, asked: Asked) -> Standing:
         """Return what is kept of a tenant that may be changed, and is as the caller thinks."""
         entry = self._tenants.entry(asked.name)
         if entry is None:
             raise self._nobody(asked.name)
-        kept = self._store.state.tenants.get(asked.name)
+        kept = self._table.kept(asked.name)
         if kept is None:
             raise WrongState(f"{asked.name!r} is being removed")
         wanted = [tag.strip() for tag in asked.headers.get("if-match", "*").split(",")]
@@ -217,10 +217,10 @@
         return Refused(404, f"no tenant is named {name!r}")
 
 
-def _tag(kept: Kept | None) -> dict[str, str]:
-    return {} if kept is None else {"ETag": f'"{kept.revision}"'}
+def _tag(kept: Standing | None) -> dict[str, str]:
+    return {} if kept is None else {"ETag": f'"{kept.version}"'}
 
 
-def _would(before: Kept | None, after: Kept | None) -> Reply:
+def _would(before: Standing | None, after: Standing | None) -> Reply:
     """Say what a change would do."""
     return Reply(200, {"dry_run": True, "before": shown(before), "after": shown(after)}, _tag(before))
--- a/reelusher/tenancy/durable/state.py
+++ b/reelusher/tenancy/durable/state.py
@@ -1,7 +1,7 @@
 """What is kept of the tenants, free of I/O: the changes, what each makes of the state, and its versions."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -34,6 +34,11 @@
     state: str
     revision: int  # number of the change that made it so
 
+    @property
+    def version(self) -> str:
+        """Return what tells this from how the tenant stood before and will stand, for `ETag`."""
+        return str(self.revision)
+
 
 class Trail(msgspec.Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True):
     """One entry of the audit trail."""
@@ -78,7 +83,23 @@
                 del self.keys[next(iter(self.keys))]
 
 
-def shown(kept: Kept | None) -> dict[str, Any] | None:
+class Standing(Protocol):
+    """A tenant as it stands, wherever it is kept."""
+
+    @property
+    def tenant(self) -> dict[str, Any]:
+        """Return it as JSON says it."""
+
+    @property
+    def state(self) -> str:
+        """Return whether it is active or suspended."""
+
+    @property
+    def version(self) -> str:
+        """Return what tells this from how it stood before and will stand, for `ETag`."""
+
+
+def shown(kept: Standing | None) -> dict[str, Any] | None:
     """Return a tenant as the trail and the API show it."""
     return None if kept is None else {**kept.tenant, "state": kept.state}
 
--- a/reelusher/tenancy/store.py
+++ b/reelusher/tenancy/store.py
@@ -8,9 +8,9 @@
 import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from loguru import logger
 
@@ -19,14 +19,38 @@
 from reelusher.tenancy.durable.disk import Disk, Folder
 from reelusher.tenancy.durable.journal import Broken, Journal
 from reelusher.tenancy.durable.keys import KeyLog
-from reelusher.tenancy.durable.state import Change, Kept, State, Unreadable, read_change, read_state, write
+from reelusher.tenancy.durable.state import (
+    Change, Kept, Standing, State, Trail, Unreadable, read_change, read_state, write)
 
 MIGRATED = ".migrated"  # what the old state file is called once its tenants are in the journal
 BY_FILE = "the operator's file"
 
 
+class TenantTable(Protocol):
+    """Where tenants are kept, as the administration API sees it."""
+
+    def changing(self) -> AbstractContextManager[None]:
+        """Keep others from changing what is kept: what was checked still holds when it is changed."""
+
+    def kept(self, name: str) -> Standing | None:
+        """Return what is kept of a tenant."""
+
+    def made_by(self, key: str) -> str | None:
+        """Return the name of the tenant that a call with this idempotency key made."""
+
+    def audit(self, after: int, limit: int) -> list[Trail]:
+        """Return so many changes with a number above one, oldest first."""
+
+    def change(self, op: str, name: str, who: str, tenant: dict[str, Any] | None = None,
+               state: str = "active", key: str = "") -> Standing | None:
+        """Make one change durable and return what is kept of the tenant then. Raises `Broken`."""
+
+
 class Store:
-    """State and journal. `changing` is held round each change, from the check to the answer."""
+    """State and journal: the table of one node.
+
+    `changing` is held round each change, from the check to the answer.
+    """
 
     def __init__(self, disk: Disk | None, wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000
                  ) -> None:
@@ -58,6 +82,19 @@
         with self._lock:
             yield
 
+    def kept(self, name: str) -> Kept | None:
+        """Return what is kept of a tenant."""
+        return self.state.tenants.get(name)
+
+    def made_by(self, key: str) -> str | None:
+        """Return the name of the tenant that a call with this idempotency key made."""
+        return self.state.keys.get(key)
+
+    def audit(self, after: int, limit: int) -> list[Trail]:
+        """Return so many changes with a number above one, oldest first."""
+        trail = list(self.state.audit)  # another thread may be adding to it
+        return [one for one in trail if one.number > after][:limit]
+
     def change(self, op: str, name: str, who: str, tenant: dict[str, Any] | None = None,
                state: str = "active", key: str = "") -> Kept | None:
         """Make one change durable and return what is kept of the tenant then. Raises `Broken`."""
