Tell a member that was told nothing from one that did not answer

Cause: a change that is carried to another member may have been made where its answer is lost, and can't have been where the member was never reached; Membership.ask returns None for both. Change: ask_once raises Unreached or Unanswered; ask stands on it and returns as before.

--- a/reelusher/fleet/membership/service.py
+++ b/reelusher/fleet/membership/service.py
@@ -52,6 +52,14 @@
     return secret
 
 
+class Unreached(Exception):
+    """A member can't be reached: it was told nothing."""
+
+
+class Unanswered(Exception):
+    """A member was told something, and no answer came: it may have heeded it."""
+
+
 class Allowance:
     """So many a second, and so many at once. Not for two threads at once."""
 
@@ -321,20 +329,32 @@
 
     def ask(self, place: str, request: Any, kind: type[T], within_s: float = STATE_S) -> T | None:
         """Ask a member over TCP; None where it can't be reached or does not answer within so many seconds."""
+        try:
+            return self.ask_once(place, request, kind, within_s)
+        except (Unreached, Unanswered) as error:
+            logger.debug("fleet: no answer of {}: {}", place, error)
+            return None
+
+    def ask_once(self, place: str, request: Any, kind: type[T], within_s: float = STATE_S) -> T:
+        """Do the same, and tell apart: raises `Unreached` where it was told nothing, else `Unanswered`."""
         with self._lock:
             data = self._seal.close(request)
         try:
             # from its own address, by which others may tell who comes
-            source = (self.address[0], 0)
-            with connect(address_of(place, "place"), STATE_S, source) as sock:
+            sock = connect(address_of(place, "place"), STATE_S, (self.address[0], 0))
+        except (OSError, ConfigError) as error:
+            raise Unreached(str(error)) from None
+        try:
+            with sock:
                 sock.settimeout(within_s)
                 sock.sendall(_framed(data))
                 answer = _read_frame(sock, within_s)
-        except (OSError, ConfigError) as error:
-            logger.debug("fleet: no answer of {}: {}", place, error)
-            return None
+        except OSError as error:
+            raise Unanswered(str(error)) from None
         with self._lock:
             reply: T | None = self._open(answer, kind, MOST_STATE)
+        if reply is None:
+            raise Unanswered("what came was refused")
         return reply
 
     def _sync(self) -> None:
