Let what tenant calls rest on be replaced part by part

Cause: a replicated table checks, applies and shows tenants in other ways than a node of its own does. Change: TenantApi asks methods of its own for reading, applying and showing; what can't be done is turned into answers in one place (refusing). Answers are as before.

--- a/reelusher/admin/api.py
+++ b/reelusher/admin/api.py
@@ -12,14 +12,12 @@
 from loguru import logger
 
 from reelusher.admin import openapi
-from reelusher.admin.tenant_api import Asked, Handler, Refused, Reply, TenantApi
+from reelusher.admin.tenant_api import Asked, Handler, Refused, Reply, TenantApi, refusing
 from reelusher.backends.workers import Pool
 from reelusher.config.operator import ACTIVATIONS, Admin, Token
-from reelusher.config.table import ConfigError, Table
+from reelusher.config.table import Table
 from reelusher.core.owner import Core
 from reelusher.net import Address, Listener
-from reelusher.tenancy.durable.journal import Broken
-from reelusher.tenancy.lifecycle import WrongState
 from reelusher.tenancy.registry import Tenants
 from reelusher.tenancy.store import TenantTable
 from reelusher.wire import http1
@@ -105,8 +103,7 @@
             reply = self._dispatch(method, target, message, token)
         except Refused as error:
             extra = {"WWW-Authenticate": "Bearer"} if error.status == 401 else {}
-            where = {"field": error.field} if error.field else {}
-            return _response(error.status, {"error": str(error), **where}, extra)
+            return _response(error.status, error.value, extra | error.headers)
         except Exception:  # an operator sees that it failed, the log says why; the node goes on
             logger.exception("admin: {} {} failed", method, target)
             return _response(500, {"error": "internal error"})
@@ -152,15 +149,8 @@
                 value = json.loads(message.body)
             except (ValueError, RecursionError) as error:
                 raise Refused(400, f"the body is not JSON: {error}") from None
-        try:
+        with refusing(method, target):
             return react(Asked(token.name, name, value, dict(parse_qsl(query)), message.headers))
-        except ConfigError as error:
-            raise Refused(400, str(error), error.key) from None
-        except WrongState as error:
-            raise Refused(409, str(error)) from None
-        except Broken as error:  # a full disk, say: nothing was changed
-            logger.error("admin: {} {} was not made durable: {}", method, target, error)
-            raise Refused(507, f"not made durable, so not made: {error}") from None
 
     # The rest
 
--- a/reelusher/admin/tenant_api.py
+++ b/reelusher/admin/tenant_api.py
@@ -4,12 +4,17 @@
 version, which tells of the change that made it as it is; `ETag` and `If-Match` carry it.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
+from loguru import logger
+
 from reelusher.config.operator import Tenant
+from reelusher.config.table import ConfigError
 from reelusher.core.owner import Core
+from reelusher.tenancy.durable.journal import Broken
 from reelusher.tenancy.durable.state import Kept, Standing, shown
 from reelusher.tenancy.lifecycle import DRAIN_US, State, WrongState
 from reelusher.tenancy.registry import Tenants
@@ -23,9 +28,30 @@
 class Refused(Exception):
     """A request that is answered with an error."""
 
-    def __init__(self, status: int, text: str, field: str = "") -> None:
+    def __init__(self, status: int, text: str, field: str = "", headers: dict[str, str] | None = None,
+                 more: dict[str, Any] | None = None) -> None:
+        """`more` goes into the answer's body beside the text."""
         super().__init__(text)
-        self.status, self.field = status, field
+        self.status, self.field, self.headers, self.more = status, field, headers or {}, more or {}
+
+    @property
+    def value(self) -> dict[str, Any]:
+        """Return the body of the answer."""
+        return {"error": str(self), **({"field": self.field} if self.field else {}), **self.more}
+
+
+@contextmanager
+def refusing(method: str, target: str) -> Iterator[None]:
+    """Turn what can't be done into an answer: raises `Refused` in place of other errors that callers make."""
+    try:
+        yield
+    except ConfigError as error:
+        raise Refused(400, str(error), error.key) from None
+    except WrongState as error:
+        raise Refused(409, str(error)) from None
+    except Broken as error:  # a full disk, say: nothing was changed
+        logger.error("admin: {} {} was not made durable: {}", method, target, error)
+        raise Refused(507, f"not made durable, so not made: {error}") from None
 
 
 @dataclass(slots=True, frozen=True)
@@ -106,7 +132,7 @@
         if entry is None:
             raise self._nobody(asked.name)
         kept = self._table.kept(asked.name)
-        return Reply(200, self._tenants.shown(entry), _tag(kept))
+        return Reply(200, self._tenants.shown(entry), etag(kept))
 
     def _usage(self, asked: Asked) -> Reply:
         found = self._core.ask(lambda: self._tenants.usage(asked.name))
@@ -125,22 +151,34 @@
 
     # Changing
 
+    def _read(self, value: Any, name: str | None = None) -> Tenant:
+        """Check a tenant that comes with a call."""
+        return self._tenants.read(value, name)
+
+    def _known(self, name: str) -> bool:
+        """Tell whether there is a tenant of this name, if only until it is gone."""
+        return self._tenants.entry(name) is not None
+
+    def _apply(self, change: Callable[[], object]) -> None:
+        """Have the owner go by a change that is durable."""
+        self._core.ask(change)
+
     def _create(self, asked: Asked) -> Reply:
         key = asked.headers.get("idempotency-key", "")
         if len(key) > MOST_KEY:
             raise Refused(400, f"more than {MOST_KEY} characters", "Idempotency-Key")
         with self._table.changing():
             made_before = self._table.made_by(key) if key else None
-            tenant = self._tenants.read(asked.value)
+            tenant = self._read(asked.value)
             if made_before is not None:
                 return self._again(made_before, tenant)
-            if self._tenants.get(tenant.name) is not None:
+            if self._known(tenant.name):
                 raise Refused(409, f"a tenant is named {tenant.name!r} already", "name")
             if asked.dry:
-                return _would(None, Kept(tenant.to_json(), State.ACTIVE.value, 0))
+                return self._would(None, Kept(tenant.to_json(), State.ACTIVE.value, 0))
             kept = self._table.change("put", tenant.name, asked.who, tenant.to_json(), key=key)
-            self._core.ask(lambda: self._tenants.put(tenant))
-            return Reply(201, shown(kept), _tag(kept))
+            self._apply(lambda: self._tenants.put(tenant))
+            return Reply(201, self._told(kept), etag(kept))
 
     def _again(self, name: str, tenant: Tenant) -> Reply:
         """Answer a call whose key made a tenant before: as then, if it still asks for the same."""
@@ -149,12 +187,12 @@
             raise Refused(422, f"this key was used to make {name!r}", "Idempotency-Key")
         if kept is None:
             raise Refused(409, f"{name!r} was made with this key, and has been removed", "Idempotency-Key")
-        return Reply(201, shown(kept), {**_tag(kept), "Idempotent-Replayed": "true"})
+        return Reply(201, self._told(kept), {**etag(kept), "Idempotent-Replayed": "true"})
 
     def _replace(self, asked: Asked) -> Reply:
         with self._table.changing():
             before = self._current(asked)
-            return self._put(asked, before, self._tenants.read(asked.value, asked.name))
+            return self._put(asked, before, self._read(asked.value, asked.name))
 
     def _patch(self, asked: Asked) -> Reply:
         if not isinstance(asked.value, dict):
@@ -162,14 +200,14 @@
         with self._table.changing():
             before = self._current(asked)
             patched = merged(before.tenant, asked.value)
-            return self._put(asked, before, self._tenants.read(patched, asked.name))
+            return self._put(asked, before, self._read(patched, asked.name))
 
     def _put(self, asked: Asked, before: Standing, tenant: Tenant) -> Reply:
         if asked.dry:
-            return _would(before, Kept(tenant.to_json(), before.state, 0))
+            return self._would(before, Kept(tenant.to_json(), before.state, 0))
         kept = self._table.change("put", asked.name, asked.who, tenant.to_json())
-        self._core.ask(lambda: self._tenants.put(tenant))
-        return Reply(200, shown(kept), _tag(kept))
+        self._apply(lambda: self._tenants.put(tenant))
+        return Reply(200, self._told(kept), etag(kept))
 
     def _suspend(self, asked: Asked) -> Reply:
         return self._move(asked, State.SUSPENDED)
@@ -181,10 +219,10 @@
         with self._table.changing():
             before = self._current(asked)
             if asked.dry:
-                return _would(before, Kept(before.tenant, to.value, 0))
+                return self._would(before, Kept(before.tenant, to.value, 0))
             kept = self._table.change("state", asked.name, asked.who, state=to.value)
-            self._core.ask(lambda: self._tenants.move(asked.name, to))
-            return Reply(200, shown(kept), _tag(kept))
+            self._apply(lambda: self._tenants.move(asked.name, to))
+            return Reply(200, self._told(kept), etag(kept))
 
     def _delete(self, asked: Asked) -> Reply:
         within_us = asked.whole("within_ms", DRAIN_US // 1000, MOST_WITHIN_MS) * 1000
@@ -193,7 +231,7 @@
             if entry is None or entry.state is not State.DRAINING:
                 before = self._current(asked)
                 if asked.dry:
-                    return _would(before, None)
+                    return self._would(before, None)
                 self._table.change("remove", asked.name, asked.who)
             self._core.ask(lambda: self._tenants.delete(asked.name, within_us))
         left = self._tenants.entry(asked.name)
@@ -201,26 +239,30 @@
 
     def _current(self, asked: Asked) -> Standing:
         """Return what is kept of a tenant that may be changed, and is as the caller thinks."""
-        entry = self._tenants.entry(asked.name)
-        if entry is None:
-            raise self._nobody(asked.name)
         kept = self._table.kept(asked.name)
+        if kept is None and not self._known(asked.name):
+            raise self._nobody(asked.name)
         if kept is None:
             raise WrongState(f"{asked.name!r} is being removed")
         wanted = [tag.strip() for tag in asked.headers.get("if-match", "*").split(",")]
-        if "*" not in wanted and _tag(kept)["ETag"] not in wanted:
-            raise Refused(412, f"{asked.name!r} has been changed: it is {_tag(kept)['ETag']} now", "If-Match")
+        if "*" not in wanted and etag(kept)["ETag"] not in wanted:
+            raise Refused(412, f"{asked.name!r} has been changed: it is {etag(kept)['ETag']} now", "If-Match")
         return kept
 
+    def _told(self, kept: Standing | None) -> dict[str, Any] | None:
+        """Return a tenant as a change's answer shows it."""
+        return shown(kept)
+
+    def _would(self, before: Standing | None, after: Standing | None) -> Reply:
+        """Say what a change would do."""
+        return Reply(200, {"dry_run": True, "before": shown(before), "after": self._told(after)},
+                     etag(before))
+
     @staticmethod
     def _nobody(name: str) -> Refused:
         return Refused(404, f"no tenant is named {name!r}")
 
 
-def _tag(kept: Standing | None) -> dict[str, str]:
+def etag(kept: Standing | None) -> dict[str, str]:
+    """Return the header that tells a tenant's version."""
     return {} if kept is None else {"ETag": f'"{kept.version}"'}
-
-
-def _would(before: Standing | None, after: Standing | None) -> Reply:
-    """Say what a change would do."""
-    return Reply(200, {"dry_run": True, "before": shown(before), "after": shown(after)}, _tag(before))
