Compare states of members by digests, and exchange only the buckets that differ

Cause: at 3,600 members each gave and took a full state of some 200 KB each 15 to 30 s, and once more as the one asked: several times the 3 KB a second that a node may spend on control. Change: a member asks with one digest over place and incarnation of the live ones, kept up with each change; where it is the same nothing follows. Else 256 digests come back, and both exchange all they know of the buckets that differ. Full states are for joining, and for one in four askings of a member that does not answer with digests (an older node), which still asks for full states and is given them. Suspicions are left out: they end within seconds.

--- a/reelusher/fleet/membership/messages.py
+++ b/reelusher/fleet/membership/messages.py
@@ -11,6 +11,7 @@
 MOST_DATAGRAM = 1400  # bytes: passes any usual link without being cut into fragments
 MOST_STATE = 1 << 19  # bytes of a full state over TCP
 MOST_VECTOR = 32  # numbers that ride on a datagram
+BUCKETS = 256  # of members, for digests: some 14 in each at 3,600
 DIGEST_BYTES = 16
 LEAST_SECRET = 16  # bytes
 WINDOW = 256  # datagrams by which one may overtake another and still be taken
@@ -81,6 +82,27 @@
     instead: list[Place] = []
 
 
+class DigestRequest(msgspec.Struct, array_like=True, frozen=True, tag="digest"):
+    """Asks whether a member counts the same ones as live, by one digest over all of them."""
+
+    sender: Place
+    whole: Number
+
+
+class DigestReply(msgspec.Struct, array_like=True, frozen=True):
+    """The digest of each bucket; none where the whole is the same."""
+
+    digests: Annotated[list[Number], msgspec.Meta(max_length=4 * BUCKETS)]
+
+
+class BucketsRequest(msgspec.Struct, array_like=True, frozen=True, tag="buckets"):
+    """Asks for all that a member knows of those in some buckets, and says what the asker knows of them."""
+
+    sender: Place
+    buckets: Annotated[list[Annotated[int, msgspec.Meta(ge=0, lt=BUCKETS)]], msgspec.Meta(max_length=BUCKETS)]
+    updates: list[Update]
+
+
 class Fact(msgspec.Struct, array_like=True, frozen=True):
     """Something that a node has seen: `run:CLASS`, `call:below` or `away:WORKER`, see `learning.facts`."""
 
--- a/reelusher/fleet/membership/service.py
+++ b/reelusher/fleet/membership/service.py
@@ -18,20 +18,21 @@
 from reelusher.config.table import Address, ConfigError, address_of
 from reelusher.core.counters import Counters
 from reelusher.fleet.membership.messages import (
-    LEAST_SECRET, MOST_DATAGRAM, MOST_STATE, FactsReply, FactsRequest, Message, Refused, Seal, State,
-    StateReply, StateRequest, Update)
+    BUCKETS, LEAST_SECRET, MOST_DATAGRAM, MOST_STATE, BucketsRequest, DigestReply, DigestRequest, FactsReply,
+    FactsRequest, Message, Refused, Seal, State, StateReply, StateRequest, Update)
 from reelusher.fleet.membership.swim import Said, Swim
 from reelusher.fleet.membership.table import Change
 from reelusher.net import Listener, connect, spawn
 from reelusher.pacing.backoff import Backoff
 
-STATE_S = 2.0  # for one exchange of full states
+STATE_S = 2.0  # for one exchange
 STATES_PER_S, STATES_AT_ONCE = 10.0, 10.0  # that a member gives; whoever comes beyond is sent to others
 MOST_ASKERS = 8  # connections at once
 DESCRIPTORS = MOST_ASKERS + 6  # datagrams, the listener, one turned away, and what it asks others itself
 INSTEAD = 5  # members that one is sent to
 JOIN_BASE_S, JOIN_CAP_S = 0.2, 3.0  # between tries to join
-SYNC_S = 15.0, 30.0  # between exchanges with a member by chance, which mend what gossip has lost
+FULL_PART = 0.25  # of those that did not answer with digests are asked for a full state at once
+SYNC_S = 15.0, 30.0  # between comparisons with a member by chance, which mend what gossip has lost
 SYNC_LEAST_S = 0.5, 1.5  # between exchanges that a found side asks for
 LOG_S = 1.0  # at most one line about changes in so long
 LOG_NAMES = 5  # named in it
@@ -103,7 +104,8 @@
         self.facts: Callable[[], FactsReply] = lambda: FactsReply(False, [])  # what this node has seen
         # Who answers which kind of request, by a thread of its own each; set before `start`. None: no answer.
         self.serve: dict[type, Callable[[Any], Any]] = {
-            StateRequest: self._state_for, FactsRequest: lambda asked: self.facts()}
+            StateRequest: self._state_for, DigestRequest: self._digests_for,
+            BucketsRequest: self._buckets_for, FactsRequest: lambda asked: self.facts()}
 
     def _bound(self, address: Address) -> tuple[socket.socket, Listener]:
         """Take an address for datagrams and connections; of port 0, one that is free for both."""
@@ -303,27 +305,59 @@
 
     def _state_for(self, asked: StateRequest) -> StateReply:
         """Take an asker's state and return what it gets."""
+        return self._given(asked, self._swim.state)
+
+    def _buckets_for(self, asked: BucketsRequest) -> StateReply:
+        """Take what an asker knows of the members in some buckets and return what is known of them here."""
+        return self._given(asked, lambda: self._swim.in_buckets(asked.buckets))
+
+    def _given(self, asked: StateRequest | BucketsRequest, known: Callable[[], list[Update]]) -> StateReply:
         now = time.monotonic()
         with self._lock:
             said = self._swim.merge(asked.updates, now)
             gives = self._states.take(now)
-            reply = StateReply(self._swim.state()) if gives else StateReply(
+            reply = StateReply(known()) if gives else StateReply(
                 [self._swim.own], self._swim.table.some(INSTEAD, asked.sender))
         self._counters.add("fleet.states_given" if gives else "fleet.states_denied")
         self._carry_out(said)
         return reply
 
+    def _digests_for(self, asked: DigestRequest) -> DigestReply:
+        with self._lock:
+            reply = DigestReply(self._swim.compared(asked.whole))
+        self._counters.add("fleet.states_differ" if reply.digests else "fleet.states_equal")
+        return reply
+
+    def _compare(self, place: str) -> None:
+        """Exchange with a member what the two of them know otherwise than each other."""
+        with self._lock:
+            request = DigestRequest(self._swim.own.place, self._swim.digest())
+        reply = self.ask(place, request, DigestReply)
+        if reply is None or len(reply.digests) not in (0, BUCKETS):
+            # It may know none, or others; or it is away, or turns away too many askers: not all at once.
+            if self._random.random() < FULL_PART:
+                self._exchange(place)
+            return
+        if not reply.digests:
+            return
+        with self._lock:
+            buckets = self._swim.differing(reply.digests)
+            updates = self._swim.in_buckets(buckets)
+        if buckets:
+            self._merge(self.ask(place, BucketsRequest(request.sender, buckets, updates), StateReply))
+
     def _exchange(self, place: str) -> StateReply | None:
         """Exchange full states with a member; None where it can't be reached or does not answer."""
         with self._lock:
             # one that joins tells of itself only: what others know of it, they have from its life before
             updates = self._swim.state() if self.joined else [self._swim.own]
             request = StateRequest(self._swim.own.place, updates)
-        now = time.monotonic()
-        reply = self.ask(place, request, StateReply)
+        return self._merge(self.ask(place, request, StateReply))
+
+    def _merge(self, reply: StateReply | None) -> StateReply | None:
         if reply is not None:
             with self._lock:
-                said = self._swim.merge(reply.updates, now)
+                said = self._swim.merge(reply.updates, time.monotonic())
             self._carry_out(said)
         return reply
 
@@ -358,7 +392,7 @@
         return reply
 
     def _sync(self) -> None:
-        """Join, then exchange full states now and then, and with whoever turned out to live after all."""
+        """Join, then compare states now and then, and with whoever turned out to live after all."""
         backoff = Backoff(self._random, JOIN_BASE_S, JOIN_CAP_S)
         instead: list[str] = []
         while not self.joined and not self._stop.is_set():
@@ -386,11 +420,11 @@
                     found = self._by_chance()
                     due_s = time.monotonic() + self._random.uniform(*SYNC_S)
             for place in found:
-                self._exchange(place)
+                self._compare(place)
                 self._stop.wait(self._random.uniform(*SYNC_LEAST_S))
 
     def _by_chance(self) -> list[str]:
-        """Return a member to exchange states with, now and then a seed that is not among the live."""
+        """Return a member to compare states with, now and then a seed that is not among the live."""
         live = set(self._swim.table.here())
         lost = [seed for seed in self._seeds if seed not in live]
         if lost and self._random.random() < 3 / (1 + len(live)):
--- a/reelusher/fleet/membership/swim.py
+++ b/reelusher/fleet/membership/swim.py
@@ -6,15 +6,17 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import reduce
 from heapq import heapify, heappop, heappush
 from math import inf, log, log2
+from operator import xor
 from random import Random
 
 from msgspec.structs import replace
 
 from reelusher.fleet.membership.messages import (
     Kind, Message, State, Update, number_size, update_size)
-from reelusher.fleet.membership.table import Change, Table
+from reelusher.fleet.membership.table import Change, Table, bucket_of, mark_of
 
 PERIOD_S = 0.4  # between probes of one node; each member is probed by someone about that often
 DIRECT_S = 0.15  # until others are asked to probe too
@@ -35,6 +37,7 @@
 LAST_CALL_S = 0.2  # an accuser waits so long for the answer to its last call
 UNHEARD_S = 2 * PERIOD_S  # so long does a helper that heard nothing join a suspicion
 RECONNECTS = 3.0  # members held for dead that all live ones together try in a period
+DIGEST_MASK = (1 << 32) - 1  # of a bucket's digest, on the wire
 TELLS = 8  # members told in a round of gossip what was heard of them
 
 
@@ -144,6 +147,34 @@
         due_s = since_s + self.suspicion_s(len(accusers))
         return self._last_calls.get(place, due_s if self.own.place in accusers else due_s + 2 * LAST_CALL_S)
 
+    # Digests: two that count the same ones as live, in the same lives, have nothing to tell each other
+
+    def digests(self) -> list[int]:
+        """Return 32 bits for each bucket of members, this one among them."""
+        made = [digest & DIGEST_MASK for digest in self.table.digests]
+        if self.own.state < State.DEAD:
+            made[bucket_of(self.own.place)] ^= mark_of(self.own) & DIGEST_MASK
+        return made
+
+    def digest(self) -> int:
+        """Return 63 bits for all live members."""
+        return reduce(xor, self.table.digests, mark_of(self.own) if self.own.state < State.DEAD else 0)
+
+    def compared(self, whole: int) -> list[int]:
+        """Return the digests of all buckets, or none where the other's whole is the same."""
+        return [] if whole == self.digest() else self.digests()
+
+    def differing(self, digests: list[int]) -> list[int]:
+        """Return the buckets in which the other knows something else."""
+        return [bucket for bucket, (own, other) in enumerate(zip(self.digests(), digests, strict=True))
+                if own != other]
+
+    def in_buckets(self, buckets: Iterable[int]) -> list[Update]:
+        """Return all that is known of the members in these buckets, the gone among them."""
+        wanted = set(buckets)
+        own = [self.own] if bucket_of(self.own.place) in wanted else []
+        return own + self.table.in_buckets(wanted)
+
     def state(self) -> list[Update]:
         """Return all that is known, this member first."""
         return [self.own, *(member.said for member in self.table.members.values())]
@@ -440,7 +471,10 @@
             self.health = max(0, self.health - 1)
 
     def merge(self, updates: Iterable[Update], now: float) -> Said:
-        """Take a full state. A death that is news here is told to whom it concerns before it is believed."""
+        """Take a full state, or that of some buckets.
+
+        A death that is news here is told to whom it concerns before it is believed.
+        """
         for said in updates:
             member = self.table.members.get(said.place)
             hearsay = State.ALIVE < said.state < State.LEFT
--- a/reelusher/fleet/membership/table.py
+++ b/reelusher/fleet/membership/table.py
@@ -8,12 +8,11 @@
 
 import msgspec
 
-from reelusher.fleet.membership.messages import State, Update
+from reelusher.fleet.membership.messages import BUCKETS, State, Update
 
 MOST_MEMBERS = 6144  # 3,600 that live, 1,024 that are gone, and half as many again that come before those go
 KEPT_S = 3600.0  # one that is dead or has left is remembered so long: older news of it must not revive it
 DEAD_MOST = 1024  # of them; the one gone longest is dropped first
-BUCKETS = 256  # of members, for digests: some 14 in each at 3,600
 
 
 class Member(msgspec.Struct, frozen=True, gc=False):
--- a/reelusher/lab/fleet/members.py
+++ b/reelusher/lab/fleet/members.py
@@ -120,10 +120,13 @@
                 self.exchange(place, other)
 
     def exchange(self, one: str, other: str) -> None:
-        """Have two members exchange their full states, as over TCP."""
-        states = self.swims[one].state(), self.swims[other].state()
-        self._carry_out(one, self.swims[one].merge(states[1], self.line.now))
-        self._carry_out(other, self.swims[other].merge(states[0], self.line.now))
+        """Have two members compare their states and exchange where they differ, as over TCP."""
+        asker, asked = self.swims[one], self.swims[other]
+        digests = asked.compared(asker.digest())
+        buckets = asker.differing(digests) if digests else []
+        states = asker.in_buckets(buckets), asked.in_buckets(buckets)
+        self._carry_out(one, asker.merge(states[1], self.line.now))
+        self._carry_out(other, asked.merge(states[0], self.line.now))
         self._wake(one)
         self._wake(other)
 
