Play scale tests at several sizes, and fit fixed cost and slope to what they give

Cause: no figure told what a node takes at 260,000 tenants or a fleet at 3,600 nodes, nor whether it grows by a line. Change: python -m reelusher.lab.capacity plays each scale test at four sizes or more, compares n, n log n and n^2 by least squares, says where no line fits, and keeps JSON with the load beside each figure. The operators' table stands as data with its arithmetic.

--- /dev/null
+++ b/reelusher/lab/capacity/budgets.py
@@ -0,0 +1,109 @@
+"""What the operators expect within two years, as data, and what follows from it by arithmetic alone."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+DAY_S = 86_400.0
+HOUR_S = 3600.0
+
+
+@dataclass(slots=True, frozen=True)
+class Expected:
+    """One figure of the operators' table."""
+
+    what: str
+    value: float
+    unit: str = ""
+
+
+EXPECTED = {
+    "nodes": Expected("booking nodes", 3600),
+    "callers": Expected("callers", 49_000),
+    "services": Expected("services of callers", 1600),
+    "requests_per_s": Expected("requests a second at the peak", 980_000, "/s"),
+    "node_requests_per_s": Expected("the same, a node", 272, "/s"),
+    "lost_region_requests_per_s": Expected("the same with a region lost", 320, "/s"),
+    "twice_requests_per_s": Expected("twice the peak of a node", 544, "/s"),
+    "routes": Expected("routes", 41_000),
+    "tenants": Expected("tenants", 260_000),
+    "added_ms": Expected("added to a request, for 99 in 100", 5.7, "ms"),
+    "regions": Expected("regions", 7),
+    "zones": Expected("zones", 17),
+    "changes_per_day": Expected("changes of configuration a day", 12_000),
+    "in_force_s": Expected("in force everywhere within", 16, "s"),
+    "control_core": Expected("a node spends for control: of a core", 3.5, "%"),
+    "control_mb": Expected("a node spends for control: memory", 64, "MB"),
+    "control_bytes_per_s": Expected("a node spends for control: bytes a second", 3000, "B/s"),
+    "control_machines": Expected("machines set aside for control", 6),
+    "failures_per_day": Expected("machines that fail on an ordinary day", 280),
+    "restarts_per_day": Expected("machines restarted or replaced on an ordinary day", 7600),
+}
+
+
+def expected(name: str) -> float:
+    """Return one figure of the operators' table."""
+    return EXPECTED[name].value
+
+
+@dataclass(slots=True, frozen=True)
+class Derived:
+    """A figure that follows from others; `how` is the same arithmetic in words."""
+
+    what: str
+    how: str
+    unit: str
+    reckon: Callable[[], float]
+
+    @property
+    def value(self) -> float:
+        """Return the figure."""
+        return self.reckon()
+
+
+def ratio(over: str, under: str) -> float:
+    """Return one expected figure over another."""
+    return expected(over) / expected(under)
+
+
+DERIVED = {
+    "mean_node_requests_per_s": Derived(
+        "requests a second, a node", "requests_per_s / nodes", "/s",
+        lambda: ratio("requests_per_s", "nodes")),
+    "lost_region_mean": Derived(
+        "requests a second, a node, with one of 7 regions lost", "requests_per_s / (nodes * 6 / 7)", "/s",
+        lambda: ratio("requests_per_s", "nodes") * expected("regions") / (expected("regions") - 1)),
+    "caller_requests_per_s": Derived(
+        "requests a second, a caller", "requests_per_s / callers", "/s",
+        lambda: ratio("requests_per_s", "callers")),
+    "caller_returns_s": Derived(
+        "seconds until a caller that asks all nodes in turn is back at one", "nodes / caller_requests_per_s",
+        "s", lambda: expected("nodes") / ratio("requests_per_s", "callers")),
+    "callers_per_node": Derived(
+        "callers for each node, were each caller one node's", "callers / nodes", "",
+        lambda: ratio("callers", "nodes")),
+    "change_every_s": Derived(
+        "seconds between two changes of configuration", "86,400 / changes_per_day", "s",
+        lambda: DAY_S / expected("changes_per_day")),
+    "restart_every_s": Derived(
+        "seconds between two restarts", "86,400 / restarts_per_day", "s",
+        lambda: DAY_S / expected("restarts_per_day")),
+    "list_changes_per_s": Derived(
+        "changes of the list a second: each machine goes and comes back",
+        "2 * (restarts_per_day + failures_per_day) / 86,400", "/s",
+        lambda: 2 * (expected("restarts_per_day") + expected("failures_per_day")) / DAY_S),
+    "tenants_per_node": Derived(
+        "tenants whose requests a node gets, were each tenant on 1 % of the nodes", "tenants / 100", "",
+        lambda: expected("tenants") / 100),
+    "zone_nodes": Derived(
+        "nodes of a zone", "nodes / zones", "", lambda: ratio("nodes", "zones")),
+    "region_nodes": Derived(
+        "nodes of a region", "nodes / regions", "", lambda: ratio("nodes", "regions")),
+    "nodes_per_control_machine": Derived(
+        "nodes for each control machine", "nodes / control_machines", "",
+        lambda: ratio("nodes", "control_machines")),
+}
+
+
+def derived(name: str) -> float:
+    """Return a figure that follows from others."""
+    return DERIVED[name].value
--- /dev/null
+++ b/reelusher/lab/capacity/callers.py
@@ -0,0 +1,63 @@
+"""Connections of callers: descriptors, threads, bytes and processor time each, idle ones of a hosted node."""
+
+import tempfile
+import time
+from functools import partial
+from pathlib import Path
+
+from reelusher.config.operator import parse
+from reelusher.lab.capacity import site
+from reelusher.lab.capacity.harness import Figures, Scale
+from reelusher.net import connect
+from reelusher.server import Node
+from reelusher.wire import ajp13
+
+SECONDS = 5.0
+
+
+def idle(size: int) -> Figures:
+    """Measure a node with so many connections that have asked once and wait."""
+    with tempfile.TemporaryDirectory() as name:
+        file = site.value(10, [("127.0.0.1", 1)], sockets=8192)
+        with site.hosted(file, Path(name)) as made:
+            pid, before = made.process.pid, site.status_of(made.process.pid)
+            socks = []
+            for _ in range(size):
+                sock = connect(made.ajp, 10.0)
+                sock.settimeout(10.0)
+                sock.sendall(ajp13.packet(ajp13.TO_CONTAINER, bytes([ajp13.CPING])))
+                assert sock.recv(16)
+                socks.append(sock)
+            time.sleep(1.0)
+            after, took = site.status_of(pid), site.processor_s(pid)
+            began = time.monotonic()
+            time.sleep(SECONDS)
+            core = (site.processor_s(pid) - took) / (time.monotonic() - began)
+            for sock in socks:
+                sock.close()
+    return {"descriptors_each": (after["descriptors"] - before["descriptors"]) / size,
+            "threads_each": (after["threads"] - before["threads"]) / size,
+            "bytes_each": (after["resident"] - before["resident"]) / size, "core": core}
+
+
+def left(size: int) -> Figures:
+    """Count the connections that callers are left of 65,536 descriptors, beside so many workers."""
+    made = parse(site.value(1, [("127.0.0.1", 1)] * size, sockets=65_536))
+    config = site.config(1, size, sockets=65_536)
+    assert made.workers and config.operator is not None
+    node = Node(config)
+    node.close()
+    return {"connections_left": float(node._most_connections())}
+
+
+SCALES = [
+    Scale("callers-idle", "idle connections of web servers at a hosted node", of="connections",
+          sizes=(100, 200, 400, 800), quick=(20,), measure=idle, repeats=3, cheap=False, target=10_000,
+          units={"descriptors_each": "", "threads_each": "", "bytes_each": "bytes", "core": ""},
+          notes=("core: part of one core that the connections take while nothing is asked",)),
+    partial(Scale, of="workers", target=41_000)(
+        "callers-left", "connections that callers are left of 65,536 descriptors",
+        sizes=(500, 1000, 2000, 4000), quick=(10, 20, 40, 80), measure=left, repeats=1,
+        units={"connections_left": ""},
+        notes=("16 connections are kept for each worker",)),
+]
--- /dev/null
+++ b/reelusher/lab/capacity/keys.py
@@ -0,0 +1,92 @@
+"""Keyed windows, kept results, accounts of tenants and counters: bytes by how many there are."""
+
+import gc
+import tracemalloc
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from reelusher import interface as io
+from reelusher.core.counters import Counters
+from reelusher.core.keys import KeyTable
+from reelusher.core.model import Result
+from reelusher.lab.capacity.budgets import expected
+from reelusher.lab.capacity.harness import Figures, Scale, each_us
+from reelusher.tenancy.shares import Share, Shares
+
+WINDOW_US, TAIL_US = 22_971_000, 7_700_000
+RESULT_BYTES = 1000
+
+
+def bytes_of(make: Callable[[], Any]) -> tuple[float, Any]:
+    """Return the bytes that something leaves, by the allocator's count, and what it made."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        made = make()
+        gc.collect()
+        return float(tracemalloc.get_traced_memory()[0]), made
+    finally:
+        tracemalloc.stop()
+
+
+def window(size: int) -> Figures:
+    """Measure a table that keeps so many keys, with results and without, and a sweep (once a second)."""
+    def keep() -> KeyTable:
+        table = KeyTable(TAIL_US, 1 << 40)
+        for number in range(size):
+            table.keep((f"tenant-{number % 100}", 1, f"key-{number:016x}"), number, WINDOW_US + number,
+                       b"%016d" % number)
+        return table
+
+    def answered() -> None:
+        for number in range(size):
+            entry = table.of(number)
+            assert entry is not None
+            table.store(entry, Result(b"%0*d" % (RESULT_BYTES, number)))
+
+    held, table = bytes_of(keep)
+    results, _ = bytes_of(answered)
+    return {"key_bytes": held / size, "result_bytes": results / size,
+            "sweep_ms": each_us(lambda: table.sweep(0, lambda holder: False)) / 1000}
+
+
+def accounts(size: int) -> Figures:
+    """Measure the accounts of so many tenants, and the counters that each of them gets."""
+    def entitle() -> Shares:
+        shares = Shares(8, 65_536.0)
+        for number in range(size):
+            shares.entitle(number, Share())
+        return shares
+
+    def asked() -> None:
+        for number in range(size):
+            made.arrived(io.Request(number, 0, tenant=number), 0)
+
+    def count() -> Counters:
+        counters = Counters()
+        for number in range(size):
+            counters.add(f"tenant.tenant-{number}.served")
+        return counters
+
+    held, made = bytes_of(entitle)
+    counted, counters = bytes_of(count)
+    asked()
+    return {"account_bytes": held / size, "counter_bytes": counted / size,
+            "snapshot_ms": each_us(counters.snapshot) / 1000,
+            "line_kb": len(str(counters.snapshot())) / 1000, "period_us": each_us(lambda: made.period(0))}
+
+
+SCALES = [
+    partial(Scale, of="keys", target=expected("node_requests_per_s") * (WINDOW_US + TAIL_US) / 1e6)(
+        "keys-window", "keys of keyed requests, kept for their window and the longest deadline",
+        sizes=(1000, 2000, 4000, 8000, 16_000), quick=(50, 100, 200, 400), measure=window,
+        units={"key_bytes": "bytes", "result_bytes": "bytes", "sweep_ms": "ms"},
+        notes=("results of 1,000 bytes; at 272 a second, were all of them keyed, 8,342 keys",)),
+    partial(Scale, of="tenants", target=expected("tenants"))(
+        "tenants-accounts", "accounts of tenants and their counters",
+        sizes=(1000, 2000, 4000, 8000, 16_000), quick=(50, 100, 200, 400), measure=accounts,
+        units={"account_bytes": "bytes", "counter_bytes": "bytes", "snapshot_ms": "ms", "line_kb": "KB",
+               "period_us": "µs"},
+        notes=("all tenants ask; the line of the log that a drain ends with has all counters",)),
+]
--- /dev/null
+++ b/reelusher/lab/capacity/page.py
@@ -0,0 +1,165 @@
+"""The tables of docs/CAPACITY.md, written from what is kept of the plays."""
+
+import re
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from reelusher.lab.capacity.budgets import DERIVED, EXPECTED
+from reelusher.lab.capacity.fit import Fit
+from reelusher.lab.capacity.harness import FOLDER, fit_of, read_all
+from reelusher.lab.capacity.roles import MISSING, ROLES, Row
+
+PAGE = FOLDER.parent / "CAPACITY.md"
+BEFORE = "before"  # the folder of what was measured before the mechanism was built
+TABLE = re.compile(r"(<!-- table (\S+) -->\n).*?(<!-- end of table -->)", re.DOTALL)
+REFERENCE = re.compile(r"\[\[([\w./-]+?)(?:@([\w.]+))?\]\]")
+Kept = dict[str, dict[str, Any]]
+
+
+class Unknown(Exception):
+    """A table names a figure that is not kept."""
+
+
+def number(value: float) -> str:
+    """Return a figure with three digits, thousands parted."""
+    if value == 0:
+        return "0"
+    if abs(value) >= 1000:
+        digits = len(str(int(abs(value))))
+        return f"{round(value, 3 - digits):,.0f}"
+    text = f"{value:.3g}"
+    return f"{value:.2e}" if "e" in text else text
+
+
+def with_unit(value: float, unit: str) -> str:
+    """Return a figure and its unit."""
+    return f"{number(value)} {unit}".strip()
+
+
+def fit_told(made: dict[str, Any], figure: str) -> str:
+    """Return what a fit says: fixed cost, slope, how well it fits, and where no line does."""
+    found, unit = fit_of(made, figure), made["figures"][figure]["unit"]
+    if found is None:
+        return "too few sizes"
+    quality = f"R² {found.r2:.4f}, worst {found.worst:.1%} at {number(found.worst_at)}"
+    if found.shape == "even":
+        return f"does not grow: {with_unit(found.fixed, unit)}; worst {found.worst:.1%}"
+    if found.shape == "none":
+        return f"nothing fits (line: R² {found.line_r2:.4f}, worst {found.line_worst:.1%})"
+    line = "" if found.shape == "n" else f"no line (R² {found.line_r2:.4f}, worst {found.line_worst:.1%}): "
+    return f"{line}{with_unit(found.fixed, unit)} + {with_unit(found.slope, unit)} · {found.shape}; {quality}"
+
+
+def at(made: dict[str, Any], figure: str, size: float) -> tuple[float | None, float]:
+    """Return a figure at a size, and how many times beyond the largest size that was played that is."""
+    kept, sizes = made["figures"][figure], made["sizes"]
+    if size in sizes:
+        return kept["median"][sizes.index(size)], 1.0
+    found: Fit | None = fit_of(made, figure)
+    return (found.at(size) if found else None), size / max(sizes)
+
+
+def at_told(made: dict[str, Any], figure: str, size: float) -> str:
+    """Return a figure at a size, saying where it is reckoned from smaller ones."""
+    value, times = at(made, figure, size)
+    if value is None:
+        return "not to be told: nothing fits"
+    told = with_unit(value, made["figures"][figure]["unit"])
+    if size in made["sizes"]:
+        return told
+    beyond = f"{number(times)} times beyond what was played" if times > 1 else "within what was played"
+    return f"{told} (reckoned, {beyond})"
+
+
+def resolved(text: str, kept: Kept) -> str:
+    """Put figures in the place of `[[test.figure@size]]`, `[[derived.name]]` and `[[expected.name]]`."""
+    def put(found: re.Match[str]) -> str:
+        name, size = found.group(1), found.group(2)
+        test, _, figure = name.rpartition(".")
+        if test == "derived" and figure in DERIVED:
+            return with_unit(DERIVED[figure].value, DERIVED[figure].unit)
+        if test == "expected" and figure in EXPECTED:
+            return with_unit(EXPECTED[figure].value, EXPECTED[figure].unit)
+        if test not in kept:
+            return "not run"
+        if figure not in kept[test]["figures"] or size is None:
+            raise Unknown(found.group(0))
+        return at_told(kept[test], figure, EXPECTED[size].value if size in EXPECTED else float(size))
+    return REFERENCE.sub(put, text)
+
+
+def _table(heads: tuple[str, ...], rows: Sequence[tuple[str, ...]]) -> str:
+    lines = [heads, tuple("---" for _ in heads), *rows]
+    return "\n".join("| " + " | ".join(cell.replace("|", "\\|") for cell in row) + " |" for row in lines)
+
+
+def _expected(_kept: Kept) -> str:
+    return _table(("what", "size"), [(one.what, with_unit(one.value, one.unit)) for one in EXPECTED.values()])
+
+
+def _derived(_kept: Kept) -> str:
+    return _table(("what", "arithmetic", "figure"), [
+        (one.what, one.how, with_unit(one.value, one.unit)) for one in DERIVED.values()])
+
+
+def _load(made: dict[str, Any]) -> str:
+    loads = [load for at_size in made["load_average"] for load in at_size]
+    return f"{min(loads):.1f} to {max(loads):.1f}"
+
+
+def _slopes(kept: Kept) -> str:
+    rows = []
+    for made in kept.values():
+        sizes = f"{', '.join(map(number, made['sizes']))} {made['of']}"
+        for place, (figure, one) in enumerate(made["figures"].items()):
+            told = ", ".join(map(number, one["median"])) + f" {one['unit']}".rstrip()
+            beyond = at_told(made, figure, made["target"]) if made["target"] else ""
+            rows.append((f"`{made['name']}`: {sizes}, {made['repeats']} each, load {_load(made)}" if not place
+                         else "", figure, told, fit_told(made, figure), beyond))
+    return _table(("play", "figure", "medians", "fixed cost and slope", "at the operators' size"), rows)
+
+
+def _commands(kept: Kept) -> str:
+    return _table(("command", "measures", "leaves out, and means"), [
+        (f"`{made['command']}`", made["what"], "; ".join(made["notes"])) for made in kept.values()])
+
+
+def _role(rows: tuple[Row, ...]) -> Callable[[Kept], str]:
+    def write(kept: Kept) -> str:
+        return _table(("what", "at that size", "budget", "mechanism", "stands", "from"), [
+            (row.what, resolved(row.figure, kept), resolved(row.budget, kept), row.mechanism, row.stands,
+             row.source) for row in rows])
+    return write
+
+
+def _missing(kept: Kept) -> str:
+    return _table(("", "missing", "breaks at", "arithmetic", "what it would be"), [
+        (str(place), one.what, resolved(one.breaks, kept), resolved(one.arithmetic, kept), one.mechanism)
+        for place, one in enumerate(MISSING, 1)])
+
+
+def tables(folder: Path = FOLDER) -> dict[str, str]:
+    """Return all tables of the page, by name."""
+    kept, before = read_all(folder), read_all(folder / BEFORE)
+    made: dict[str, str] = {"expected": _expected(kept), "derived": _derived(kept), "slopes": _slopes(kept),
+                            "before": _slopes(before), "commands": _commands(kept),
+                            "missing": _missing(kept)}
+    both = {**kept, **{f"{BEFORE}/{name}": one for name, one in before.items()}}
+    return {**made, **{f"role-{name}": _role(rows)(both) for name, rows in ROLES.items()}}
+
+
+def written(text: str, folder: Path = FOLDER) -> str:
+    """Return a page with its tables as they are now; raise `Unknown` for a table that there is not."""
+    made = tables(folder)
+
+    def put(found: re.Match[str]) -> str:
+        if found.group(2) not in made:
+            raise Unknown(found.group(2))
+        return f"{found.group(1)}{made[found.group(2)]}\n{found.group(3)}"
+    return TABLE.sub(put, text)
+
+
+def rewrite(page: Path = PAGE, folder: Path = FOLDER) -> None:
+    """Write the page's tables anew."""
+    page.write_text(written(page.read_text(), folder))
--- /dev/null
+++ b/reelusher/lab/capacity/site.py
@@ -0,0 +1,140 @@
+"""An operator's file of any size, and a hosted node that is started with it."""
+
+import contextlib
+import os
+import signal
+import subprocess
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import tomli_w
+
+from reelusher.config.load import Config, merge
+from reelusher.config.operator import parse
+from reelusher.lab.capacity.budgets import expected
+from reelusher.lab.fleet.processes import deployed
+from reelusher.net import connect
+from reelusher.wire import ajp13, http1
+
+TOKEN = "a-token-of-the-scale-tests"
+READY_MOST_S = 300.0
+LOOK_S = 0.01
+TICK_S = 1 / os.sysconf("SC_CLK_TCK")
+Address = tuple[str, int]
+ROUTED = expected("tenants") / expected("routes")  # one tenant in so many has a route of its own
+
+
+def tenant(number: int, backend: str = "worker-0") -> dict[str, Any]:
+    """Return a tenant as an operator writes it: a host of its own, and one in six has a route beside it."""
+    made: dict[str, Any] = {"name": f"tenant-{number}", "backend": backend,
+                            "hosts": [f"tenant-{number}.example"], "default_class": "day-view"}
+    if int(number / ROUTED) != int((number - 1) / ROUTED):
+        made["routes"] = [{"method": "POST", "path": "/visits", "class": "book-visit"}]
+    return made
+
+
+def value(tenants: int, workers: list[Address], sockets: int = 4096, connections: int = 16) -> dict[str, Any]:
+    """Return an operator's file with so many tenants and these workers; its ports are free ones."""
+    return {
+        "node": {"name": "hosted-1", "sockets": sockets, "memory_mb": 192},
+        "ajp": {"listen": "127.0.0.1:0", "max_connections": min(10_000, sockets)},
+        "admin": {"listen": "127.0.0.1:0", "token": TOKEN},
+        "capacity": {"cores": 8, "memory_kb": 65_536},
+        "classes": [{"name": "day-view", "deadline_ms": 5100, "aim_ms": 1500},
+                    {"name": "book-visit", "effect": "keyed", "window_ms": 22_971, "deadline_ms": 7700}],
+        "workers": [{"name": f"worker-{number}", "host": host, "port": port, "connections": connections}
+                    for number, (host, port) in enumerate(workers)],
+        "tenants": [tenant(number, f"worker-{number % len(workers)}") for number in range(tenants)]}
+
+
+def config(tenants: int, workers: int = 1, **changes: Any) -> Config:
+    """Return the checked configuration of a node of that size."""
+    return merge(None, parse(value(tenants, [("127.0.0.1", 1)] * workers, **changes)))
+
+
+def status_of(pid: int) -> dict[str, int]:
+    """Return what the kernel says of a process: resident bytes, threads, open descriptors."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    told = dict(line.split(":", 1) for line in lines)
+    return {"resident": int(told["VmRSS"].split()[0]) * 1024, "threads": int(told["Threads"]),
+            "descriptors": len(os.listdir(f"/proc/{pid}/fd"))}
+
+
+def processor_s(pid: int) -> float:
+    """Return the seconds of processor time that a process has taken."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) * TICK_S
+
+
+@dataclass(slots=True)
+class Hosted:
+    """A node that runs."""
+
+    process: subprocess.Popen[bytes]
+    ajp: Address
+    admin: Address
+    ready_s: float  # from its start until it answered
+
+    def call(self, method: str, path: str, body: bytes = b"") -> http1.Message:
+        """Make a call of the administration API."""
+        with connect(self.admin, 10.0) as sock:
+            sock.settimeout(30.0)
+            sock.sendall(http1.request(method, path, body, {"Authorization": f"Bearer {TOKEN}"}))
+            decoder = http1.Decoder()
+            while data := sock.recv(1 << 16):
+                for message in decoder.feed(data):
+                    return message
+        raise ConnectionError("closed without an answer")
+
+
+def _addresses(log: Path) -> dict[str, Address]:
+    """Return where a node's log says that it listens."""
+    found = {}
+    for line in log.read_text(errors="replace").splitlines():
+        for word, key in (("the ajp front listens on ", "ajp"),
+                          ("the administration API listens on ", "admin")):
+            if word in line:
+                host, _, port = line.rpartition(word)[2].strip().rpartition(":")
+                found[key] = host, int(port)
+    return found
+
+
+def _answers(place: Address) -> bool:
+    """Tell whether an AJP front answers a CPing."""
+    try:
+        with connect(place, 1.0) as sock:
+            sock.settimeout(5.0)
+            sock.sendall(ajp13.packet(ajp13.TO_CONTAINER, bytes([ajp13.CPING])))
+            return bool(sock.recv(16))
+    except OSError:
+        return False
+
+
+@contextlib.contextmanager
+def hosted(file: dict[str, Any], folder: Path) -> Iterator[Hosted]:
+    """Run a node as operators do, until the block is left; it is told to leave by its id, then ended."""
+    path, log = folder / "operator.toml", folder / "node.log"
+    path.write_text(tomli_w.dumps(file))
+    began = time.monotonic()
+    environ = {key: one for key, one in os.environ.items() if not key.startswith("PROXY_")}
+    with log.open("wb") as out:
+        process = subprocess.Popen(deployed("run"), env={**environ, "REELUSHER_OPERATOR": str(path)},
+                                   cwd=Path(__file__).parents[3], stderr=out, stdout=out)
+    try:
+        places: dict[str, Address] = {}
+        while len(places) < 2 or not _answers(places["ajp"]):
+            if process.poll() is not None or time.monotonic() - began > READY_MOST_S:
+                raise RuntimeError(f"the node is not ready: {log.read_text(errors='replace')[-500:]}")
+            time.sleep(LOOK_S)
+            places = _addresses(log)
+        yield Hosted(process, places["ajp"], places["admin"], time.monotonic() - began)
+    finally:
+        process.send_signal(signal.SIGTERM)
+        try:
+            process.wait(15.0)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
--- /dev/null
+++ b/reelusher/lab/capacity/state.py
@@ -0,0 +1,95 @@
+"""What else grows: the journal of tenants' state, what fresh nodes learn, claims of keys in an upgrade."""
+
+import tempfile
+import time
+from functools import partial
+from pathlib import Path
+
+from reelusher.core.model import Claim, Result
+from reelusher.fleet.learning.facts import MOST_FACTS, weighed
+from reelusher.fleet.membership.messages import MOST_STATE, Fact, FactsReply, Seal
+from reelusher.lab.capacity import site
+from reelusher.lab.capacity.budgets import expected
+from reelusher.lab.capacity.harness import Figures, Scale, each_us
+from reelusher.tenancy.durable.disk import Folder
+from reelusher.tenancy.store import Store
+from reelusher.upgrade.claims import Claims
+
+CHANGES = 50
+
+
+def _kept(may_run: bool) -> None:
+    """Hear that a key may be run."""
+    assert may_run
+
+
+def _elsewhere(result: Result | None) -> None:
+    """Hear that another process has run a key."""
+    raise AssertionError("there is no other process")
+
+
+def journal(size: int) -> Figures:
+    """Measure the tenants' state on disk: first snapshot, a change, its bytes, recovery."""
+    made = site.config(size)
+    assert made.operator is not None
+    with tempfile.TemporaryDirectory() as name:
+        folder = Folder(Path(name))
+        store = Store(folder)
+        began = time.monotonic()
+        store.take_over(made.operator.tenants)
+        snapshot_s = time.monotonic() - began
+        began = time.monotonic()
+        for number in range(CHANGES):
+            store.change("state", f"tenant-{number % size}", "operator", state="suspended")
+        change_ms = (time.monotonic() - began) / CHANGES * 1000
+        folder.close()
+        kept = sum(path.stat().st_size for path in Path(name).iterdir())
+        began = time.monotonic()
+        again = Folder(Path(name))
+        found = Store(again)
+        recover_s = time.monotonic() - began
+        again.close()
+        assert len(found.state.tenants) == size
+    return {"snapshot_s": snapshot_s, "change_ms": change_ms, "kept_mb": kept / 1e6, "recover_s": recover_s}
+
+
+def learning(size: int) -> Figures:
+    """Measure what a donor tells of so many workers, and what a fresh node makes of it."""
+    facts = [Fact(f"away:worker-{number}", 0.0, 1_700_000_000.0) for number in range(size)]
+    told = Seal(b"a secret of sixteen", "lab", "127.0.0.1:1", 1).close(FactsReply(True, facts))
+    found = weighed([facts] * 3, 1_700_000_000.0)
+    return {"told_kb": len(told) / 1000, "fits": float(len(told) <= MOST_STATE),
+            "learnt": float(len(found)), "weigh_ms": each_us(
+                lambda: weighed([facts[:MOST_FACTS]] * 3, 1_700_000_000.0)) / 1000}
+
+
+def claims(size: int) -> Figures:
+    """Measure claims of keys, a file each, and a look for those whose window is over."""
+    with tempfile.TemporaryDirectory() as name:
+        made = Claims(Path(name), "hosted-1", lambda: 0)
+        began = time.process_time()
+        for number in range(size):
+            made._claim(Claim(("tenant-0", 1, f"key-{number}"), 0, 1_000_000, 0, "0" * 32, _kept, _elsewhere))
+        each = (time.process_time() - began) / size * 1e6
+        files = sum(1 for path in next(Path(name).iterdir()).iterdir())
+        swept_ms = each_us(made._sweep) / 1000
+    return {"claim_us": each, "files": float(files), "sweep_ms": swept_ms}
+
+
+SCALES = [
+    partial(Scale, of="tenants", target=expected("tenants"))(
+        "state-journal", "the journal of tenants' state in a folder",
+        sizes=(1000, 2000, 4000, 8000, 16_000), quick=(50, 100, 200, 400), measure=journal,
+        units={"snapshot_s": "s", "change_ms": "ms", "kept_mb": "MB", "recover_s": "s"},
+        notes=("a change is synced; this machine's disk",)),
+    partial(Scale, of="workers", target=expected("routes"))(
+        "learning", "what a fresh node learns of workers from three donors",
+        sizes=(200, 1000, 4000, 16_000, 41_000), quick=(10, 20, 40, 80), measure=learning, repeats=1,
+        units={"told_kb": "KB", "fits": "", "learnt": "", "weigh_ms": "ms"},
+        notes=("fits: 1 where the answer is within the 512 KB that an asker takes; past it nothing is known",)),
+    partial(Scale, of="keys", target=expected("node_requests_per_s") * 43)(
+        "upgrade-claims", "claims of keys while two processes of a node may serve, a file each",
+        sizes=(500, 1000, 2000, 4000), quick=(10, 20, 40, 80), measure=claims, repeats=3,
+        units={"claim_us": "µs", "files": "", "sweep_ms": "ms"},
+        notes=("a claim stays for its window and 20 s; on the platform's front only",)),
+]
--- /dev/null
+++ b/reelusher/lab/capacity/tenants.py
@@ -0,0 +1,127 @@
+"""Tenants and routes: the table in a node's memory, and a whole node with them in its operator's file."""
+
+import gc
+import tempfile
+import time
+import tracemalloc
+from functools import partial
+from pathlib import Path
+from random import Random
+
+from reelusher.backends.workers import BalancedRunner
+from reelusher.config.load import Config
+from reelusher.core.counters import Counters
+from reelusher.core.owner import Core
+from reelusher.lab.capacity import site
+from reelusher.lab.capacity.budgets import expected
+from reelusher.lab.capacity.harness import Figures, Scale, each_us
+from reelusher.lab.capacity.request import StandInProcess, rounds
+from reelusher.tenancy.lifecycle import State
+from reelusher.tenancy.registry import Tenants
+from reelusher.tenancy.shares import Shares
+
+LOOKS = 50  # hosts that are looked up in turn
+RATE = 272.0
+SECONDS = 6.0
+
+
+class _Nobody(BalancedRunner):
+    """Runs nothing."""
+
+    def __init__(self) -> None:
+        """Need no workers."""
+
+
+def table_of(made: Config) -> Tenants:
+    """Return the tenants of a configuration as a node holds them, without a node round them."""
+    assert made.operator is not None
+    shares = Shares(made.settings.cores, made.settings.memory_kb)
+    nobody = _Nobody()
+    core = Core(made.settings, made.gauges, 1, nobody, None, made.class_names, counters=Counters(),
+                standing=shares)
+    entries = [(one, State.ACTIVE) for one in made.operator.tenants]
+    return Tenants(entries, made.operator.class_names, lambda name: nobody, core, shares,
+                   frozenset({"worker-0"}))
+
+
+def table(size: int) -> Figures:
+    """Measure the table in memory: a look-up, a change, a start, bytes."""
+    began = time.process_time()
+    made = site.config(size)
+    checked_s = time.process_time() - began
+    gc.collect()
+    began = time.process_time()
+    tenants = table_of(made)
+    built_s = time.process_time() - began
+    random, number = Random(1), 0
+    hosts = [f"tenant-{random.randrange(size)}.example" for _ in range(LOOKS)]
+
+    def look() -> None:
+        for host in hosts:
+            assert tenants.match("GET", host, "/visits/1") is not None
+
+    def change() -> None:
+        nonlocal number
+        number = (number + 7919) % size
+        found = tenants.get(f"tenant-{number}")
+        assert found is not None
+        tenants.check(found)
+        tenants.put(found)
+
+    return {"check_s": checked_s, "start_s": built_s, "look_up_us": each_us(look) / LOOKS,
+            "change_us": each_us(change)}
+
+
+def memory(size: int) -> Figures:
+    """Measure the bytes of the table: what reading the file leaves, and what the table adds."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        made = site.config(size)
+        gc.collect()
+        read = tracemalloc.get_traced_memory()[0]
+        tenants = table_of(made)
+        gc.collect()
+        held = tracemalloc.get_traced_memory()[0]
+        assert tenants.get("tenant-0") is not None
+    finally:
+        tracemalloc.stop()
+    return {"read_mb": read / 1e6, "table_mb": (held - read) / 1e6}
+
+
+def node(size: int) -> Figures:
+    """Measure a node: ready, resident, a change over the API, and requests in an open loop."""
+    with tempfile.TemporaryDirectory() as name, StandInProcess() as worker:
+        file = site.value(size, [worker.address])
+        with site.hosted(file, Path(name)) as made:
+            resident = site.status_of(made.process.pid)["resident"]
+            took_ms = []
+            for number in range(0, size, max(1, size // 9)):
+                began = time.monotonic()
+                answer = made.call("PATCH", f"/v1/tenants/tenant-{number}", b'{"max_open": 100}')
+                took_ms.append((time.monotonic() - began) * 1000)
+                assert answer.start[1] == "200", answer.body
+            random = Random(size)
+            hosts = [f"tenant-{random.randrange(size)}.example" for _ in range(LOOKS)]
+            told = rounds(made, worker.address, RATE, SECONDS, hosts)
+    took_ms.sort()
+    return {"ready_s": made.ready_s, "resident_mb": resident / 1e6,
+            "change_ms": took_ms[len(took_ms) // 2], "request_us": told["request_us"],
+            "added_p50_ms": told["added_p50_ms"], "added_p99_ms": told["added_p99_ms"]}
+
+
+_OF = partial(Scale, of="tenants", target=expected("tenants"))
+SCALES = [
+    _OF("tenants-table", "the tenants in a node's memory, those of the operator's file",
+        sizes=(1000, 2000, 4000, 8000), quick=(50, 100, 200, 400), measure=table,
+        units={"check_s": "s", "start_s": "s", "look_up_us": "µs", "change_us": "µs"},
+        notes=("processor time; one of six tenants has a route, as 41,000 of 260,000",)),
+    _OF("tenants-memory", "bytes of the same, by the allocator's count",
+        sizes=(1000, 2000, 4000, 8000), quick=(50, 100, 200, 400), measure=memory, repeats=1,
+        units={"read_mb": "MB", "table_mb": "MB"}),
+    _OF("tenants-node", "a hosted node with all tenants in its operator's file, 272 requests a second",
+        sizes=(10, 1000, 2000, 5000), quick=(10,), measure=node, repeats=3, cheap=False,
+        units={"ready_s": "s", "resident_mb": "MB", "change_ms": "ms", "request_us": "µs",
+               "added_p50_ms": "ms", "added_p99_ms": "ms"},
+        notes=("added: over what the stand-in worker alone gives to the same client in the same round",)),
+]
--- /dev/null
+++ b/reelusher/lab/capacity/workers.py
@@ -0,0 +1,88 @@
+"""Workers: what a pool of many takes in a node, and what a fleet of nodes does to one worker."""
+
+import gc
+import threading
+import time
+import tracemalloc
+from functools import partial
+from random import Random
+
+from reelusher.backends.workers import Pool
+from reelusher.config.operator import Worker, parse
+from reelusher.core.counters import Counters
+from reelusher.core.model import Message
+from reelusher.lab.capacity import site
+from reelusher.lab.capacity.budgets import expected
+from reelusher.lab.capacity.harness import Figures, Scale, each_us
+
+CONNECTIONS = 16
+
+
+def _heard(message: Message) -> None:
+    """Take what a pool tells."""
+
+
+def pool_of(workers: tuple[Worker, ...]) -> Pool:
+    """Return a pool that runs nothing."""
+    return Pool(workers, (), 8, _heard, Counters(), 1 << 20, lambda: 0, Random(1))
+
+
+def pool(size: int) -> Figures:
+    """Measure a pool of workers: bytes, a start, gauges (ten times a second), a choice, facts told."""
+    began = time.process_time()
+    made = parse(site.value(1, [("127.0.0.1", 1)] * size))
+    checked_s = time.process_time() - began
+    gc.collect()
+    tracemalloc.start()
+    try:
+        measured = pool_of(made.workers)
+        gc.collect()
+        held = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    measured.executor.shutdown()
+    one = [measured.members["worker-0"]]
+
+    def pick() -> None:
+        chosen = measured.pick(one, set(), "", "requests")
+        assert chosen is not None
+        measured.release(chosen)
+
+    for member in measured.members.values():
+        member.seen_s = 1.0
+    return {"check_s": checked_s, "bytes_each": held / size,
+            "gauges_us": each_us(lambda: measured.gauges("")), "pick_us": each_us(pick),
+            "seen_ms": each_us(measured.seen) / 1000}
+
+
+def threads(size: int) -> Figures:
+    """Count the threads that a pool of so many workers takes once all are in use, and what is kept open."""
+    made = pool_of(tuple(parse(site.value(1, [("127.0.0.1", 1)] * size)).workers))
+    before = threading.active_count()
+    release, begun = threading.Event(), threading.Semaphore(0)
+
+    def run() -> None:
+        begun.release()
+        release.wait()
+
+    most = size * CONNECTIONS
+    for _ in range(most):
+        made.executor.submit(run)
+    time.sleep(0.05)
+    found = threading.active_count() - before
+    release.set()
+    made.executor.shutdown()
+    return {"threads": float(found), "descriptors_kept": float(most)}
+
+
+_OF = partial(Scale, of="workers", target=expected("routes"))
+SCALES = [
+    _OF("workers-pool", "a node's pool of workers, none of them in use",
+        sizes=(500, 1000, 2000, 4000), quick=(20, 40, 80, 160), measure=pool,
+        units={"check_s": "s", "bytes_each": "bytes", "gauges_us": "µs", "pick_us": "µs", "seen_ms": "ms"},
+        notes=("one worker for each of the 41,000 routes is the most there can be",)),
+    _OF("workers-threads", "threads and descriptors of a pool whose workers are all in use",
+        sizes=(4, 8, 16, 32, 64), quick=(2, 4, 8, 16), measure=threads, repeats=1,
+        units={"threads": "", "descriptors_kept": ""},
+        notes=("16 connections for each worker; the example's figure",)),
+]
