--- a/reelusher/lab/capacity/state.py
+++ b/reelusher/lab/capacity/state.py
@@ -86,7 +86,7 @@
         "learning", "what a fresh node learns of workers from three donors",
         sizes=(200, 1000, 4000, 16_000, 41_000), quick=(10, 20, 40, 80), measure=learning, repeats=1,
         units={"told_kb": "KB", "fits": "", "learnt": "", "weigh_ms": "ms"},
-        notes=("fits: 1 where the answer is within the 512 KB that an asker takes; past it nothing is known",)),
+        notes=("fits: 1 where the answer is within the 512 KB that an asker takes; past it none is known",)),
     partial(Scale, of="keys", target=expected("node_requests_per_s") * 43)(
         "upgrade-claims", "claims of keys while two processes of a node may serve, a file each",
         sizes=(500, 1000, 2000, 4000), quick=(10, 20, 40, 80), measure=claims, repeats=3,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -489,6 +489,21 @@
     assert soon(lambda: heard == {at_first: [1, 2, 3]})
 
 
+def test_who_asks_once_can_tell_one_that_was_told_nothing_from_one_that_did_not_answer(
+        start: Callable[..., Membership]) -> None:
+    first, second, gone = start("a", []), start("b", []), start("c", [])
+    at, asked, heard = second.live()[0].place, Question("x", "abc"), list[str]()
+    gone.close()
+    second.serve[Question] = lambda question: heard.append(question.text)
+    with pytest.raises(service.Unanswered):
+        first.ask_once(at, asked, Answer)
+    assert heard == ["abc"]
+    with pytest.raises(service.Unreached):
+        first.ask_once(gone.live()[0].place, asked, Answer)
+    second.serve[Question] = lambda question: Answer(question.text)
+    assert first.ask_once(at, asked, Answer) == Answer("abc")
+
+
 def test_an_answer_may_take_as_long_as_the_asker_waits(start: Callable[..., Membership],
                                                        monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(service, "STATE_S", 0.2)
