Have a replica that is refilled give nothing of that stream, and remember the least of its givers

Rows of a replica in the midst of a refill are true for its old position only, and one that passed on what a giver had collected could send an asker back to 0 again and again.

--- a/reelusher/fleet/replication/streams.py
+++ b/reelusher/fleet/replication/streams.py
@@ -14,7 +14,8 @@
   - a later epoch is gone on with only where `goal` lies within the history that both share;
   - tombstones that a giver has collected may concern the asker's rows only past its `covered`.
 A replica that can't go on is refilled: from 0, beside the rows that it has, which serve on; rows that the
-refill did not meet go at its end. Its position stays as it was until then.
+refill did not meet go at its end. Its position stays as it was until then, and it gives nothing of that
+stream meanwhile.
 
 All times are seconds by a clock that only goes on. `heard` and `asked` may come from any thread, and never
 wait for a disk; `take`, `accept`, `begin_term` and `collect` write, one at a time. All else is called by one
@@ -40,14 +41,14 @@
 FORMAT = 1  # of entries and pieces; members of another do not exchange any
 JITTER_S = 0.02, 0.15  # from hearing that someone is ahead to asking
 LEAST_S = 0.1  # between pulls, so that one brings many changes
-FILL_PER_S = 12.0  # pieces that a replica takes a second while it fills
+FILL_PER_S = 6.0  # pieces that a replica takes a second while it fills: 5 ms of a core each
 PULL_S = 5.0  # a pull that has not come to an end after so long is over
 FAIL_S = 0.1, 5.0  # between tries where nobody who is ahead answers
 SHUN_S = 1.0, 30.0  # for which one is not asked that did not answer, or gave nothing of use
 AHEAD_S = 30.0  # for which it counts that someone was heard to be ahead
 MOST_AHEAD = 32  # members ahead that are remembered
 MOST_LEVEL = 16  # members that are as far as this one
-GIVEN_BYTES = 12 * MOST_PIECE, 24 * MOST_PIECE  # that a replica gives in a second, and at once
+GIVEN_BYTES = 20 * MOST_PIECE, 40 * MOST_PIECE  # that a replica gives in a second, and at once
 GIVEN_REPLIES = 50.0, 50.0  # the same of replies: most bring one change
 CLAIM_S = 30.0  # for which it counts that someone was heard to have more of a stream than its holder
 KEPT_S = 7 * 86_400.0  # tombstones
@@ -399,8 +400,8 @@
                 # its tombstones of what is here are collected: all anew, beside what serves on
                 state = replace(state, generation=state.generation + 1, cursor=0)
                 taken.refills.append(piece.stream)
-            elif piece.since and state.covered < piece.horizon:
-                taken.refused.append("stale")  # collected since it was asked
+            elif piece.since and (state.covered < piece.horizon or piece.covered < state.horizon):
+                taken.refused.append("stale")  # one of the two has rows whose removal the other has forgotten
                 return
             state, drop = advanced(state, piece)
             if state == self.states[piece.stream] and not piece.entries:
@@ -464,8 +465,8 @@
     def _pieces(self, stream: str, asker: Position, covered: int, most: int) -> Iterator[Piece]:
         """Return pieces of a stream for one that stands at a position."""
         state = self.states[stream]
-        if asker >= (state.epoch, state.number):
-            return
+        if asker >= (state.epoch, state.number) or state.cursor >= 0:
+            return  # while it is refilled, some of its rows may be of no history, or removed
         since = asker.number
         later = [base for epoch, base in state.bases if epoch > asker.epoch]
         if since > min(later, default=inf) or since > 0 and covered < state.horizon:
@@ -475,8 +476,8 @@
             if given is None:
                 return
             state = given.state
-            if state.cursor >= 0:  # until it is refilled, its rows hold for its position, and no further
-                state = replace(state, covered=state.number)
+            if state.cursor >= 0:
+                return
             upto = given.entries[-1].number if given.more else max(since, state.number)
             yield Piece(stream, state.epoch, state.bases, since, upto, given.entries, given.more,
                         state.horizon, max(upto, state.covered), max(upto, state.goal))
@@ -545,7 +546,9 @@
     """Return the state once a piece from just past it is taken, and whether a refill is over by that."""
     covered = max(piece.upto, min(state.covered, piece.covered) if state.since else piece.covered)
     # rows at and before `since` are not from this giver: what it has collected concerns what it gave
-    horizon = max(state.horizon, piece.horizon) if piece.horizon > piece.since else state.horizon
+    horizon = state.horizon if piece.since >= piece.horizon else max(state.horizon, piece.horizon)
+    if not piece.since:
+        horizon = piece.horizon
     goal = max(state.goal, piece.goal)
     if state.cursor < 0:
         return replace(state, number=piece.upto, covered=covered, horizon=horizon, goal=goal), False
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -366,6 +366,59 @@
     assert live(fleet, "n1") == live(fleet, "c1")
 
 
+def test_a_fill_remembers_how_far_the_least_of_its_givers_was(
+        folder: Path | None, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What an early giver did not know to be removed is found out, though a later one knew more."""
+    fleet = Replicas(4, folder)
+    for name in C1[:5]:
+        fleet.change(name)
+    fleet.pull("n1", "c1")
+    fleet.change(C1[0], "")
+    fleet.change(C1[1], pad="newer")
+    monkeypatch.setattr(streams, "MOST_PIECE", 1)
+    monkeypatch.setattr(streams, "MOST_REPLY", 1)
+    fleet.pull("n4", "n1")
+    fleet.pull("n4", "c1")
+    assert set(live(fleet, "n4")) == {C1[0], C1[2]} and fleet.all["n4"].states["c1"].covered == 5
+    fleet.all["c1"].rows.collect("c1", 1, spare=0)
+    fleet.restart("c1")
+    taken = fleet.pull("n4", "c1")
+    assert taken is not None and taken.refills == ["c1"]
+    fleet.settle("n4", "c1")
+    assert live(fleet, "n4") == live(fleet, "c1") and C1[0] not in live(fleet, "n4")
+
+
+def test_who_is_refilled_gives_nothing_of_that_stream(
+        folder: Path | None, monkeypatch: pytest.MonkeyPatch) -> None:
+    fleet = Replicas(3, folder)
+    removed_while_away(fleet)
+    fleet.add("n4")
+    monkeypatch.setattr(streams, "MOST_PIECE", 1)
+    monkeypatch.setattr(streams, "MOST_REPLY", 1)
+    fleet.pull("n1", "c1")
+    assert fleet.all["n1"].states["c1"].cursor > 0
+    for _ in range(3):
+        taken = fleet.pull("n4", "n1")
+        assert taken is not None and taken.pieces == 0
+    fleet.settle()
+    assert all_alike(fleet)
+
+
+def test_one_whose_tombstones_are_gone_takes_nothing_of_one_that_never_had_them(
+        folder: Path | None, monkeypatch: pytest.MonkeyPatch) -> None:
+    fleet = Replicas(3, folder)
+    removed_while_away(fleet)
+    fleet.add("n4")
+    monkeypatch.setattr(streams, "MOST_PIECE", 1)
+    monkeypatch.setattr(streams, "MOST_REPLY", 1)
+    fleet.pull("n4", "c1")
+    assert fleet.all["n4"].states["c1"].horizon == 6
+    taken = fleet.pull("n4", "n1")
+    assert taken is not None and taken.refused == ["stale"] and set(live(fleet, "n4")) == {C1[0]}
+    fleet.settle()
+    assert all_alike(fleet)
+
+
 def test_what_is_collected_is_old_and_not_among_the_newest_numbers() -> None:
     rows = MemoryRows(lambda: 50)
     replica = Replica("c1", CONTROL, rows, Random(1))
@@ -459,6 +512,30 @@
                                                        for at, name in enumerate(C1[:4])}
 
 
+def test_a_refill_after_a_take_over_does_not_end_before_the_position_that_it_serves(
+        folder: Path | None, monkeypatch: pytest.MonkeyPatch) -> None:
+    fleet = Replicas(2, folder)
+    fleet.change(C1[0])
+    fleet.pull("n2", "c1")
+    for name in C1[1:4]:
+        fleet.change(name)
+    fleet.pull("c2", "c1")
+    fleet.change(C1[0], pad="lost")
+    monkeypatch.setattr(streams, "MOST_PIECE", 1)
+    monkeypatch.setattr(streams, "MOST_REPLY", 1)
+    fleet.pull("n1", "c1")
+    fleet.pull("n1", "c1")
+    state = fleet.all["n1"].states["c1"]
+    assert (state.number, state.goal) == (3, 5)
+    fleet.all["c2"].begin_term("c1", "c2")
+    fleet.pull("n2", "c2")
+    assert fleet.all["n2"].states["c1"].number == 2
+    for _ in range(4):
+        fleet.pull("n1", "n2")
+    fleet.settle("n1", "n2", "c2")
+    assert live(fleet, "n1") == live(fleet, "c2") and len(live(fleet, "n1")) == 4
+
+
 def test_who_has_not_all_that_it_began_to_pull_does_not_take_over_unless_forced(
         folder: Path | None, monkeypatch: pytest.MonkeyPatch) -> None:
     fleet = Replicas(1, folder)
