--- a/reelusher/fleet/replication/streams.py
+++ b/reelusher/fleet/replication/streams.py
@@ -553,8 +553,7 @@
     if state.cursor < 0:
         return replace(state, number=piece.upto, covered=covered, horizon=horizon, goal=goal), False
     if piece.upto >= goal:
-        return replace(state, number=max(state.number, piece.upto), covered=covered, horizon=horizon,
-                       goal=goal, cursor=-1), True
+        return replace(state, number=piece.upto, covered=covered, horizon=horizon, goal=goal, cursor=-1), True
     return replace(state, cursor=piece.upto, covered=covered, horizon=horizon, goal=goal), False
 
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -388,6 +388,18 @@
     assert live(fleet, "n4") == live(fleet, "c1") and C1[0] not in live(fleet, "n4")
 
 
+def test_a_refill_goes_on_to_the_furthest_of_its_givers_so_that_no_row_is_missing_between(
+        folder: Path | None, monkeypatch: pytest.MonkeyPatch) -> None:
+    fleet = Replicas(3, folder)
+    removed_while_away(fleet)
+    monkeypatch.setattr(streams, "MOST_PIECE", 1)
+    monkeypatch.setattr(streams, "MOST_REPLY", 1)
+    for giver in ("c1", "n2", "n2", "n2", "n2", "c1", "c1"):  # n2 is one behind
+        fleet.pull("n1", giver)
+        assert C1[2] in live(fleet, "n1")
+    assert fleet.all["n1"].states["c1"].cursor == -1 and live(fleet, "n1") == live(fleet, "c1")
+
+
 def test_who_is_refilled_gives_nothing_of_that_stream(
         folder: Path | None, monkeypatch: pytest.MonkeyPatch) -> None:
     fleet = Replicas(3, folder)
