Serve tenants from the node's copy, and carry changes to the holder of their stream

Cause: with a replicated table a change is made by one member, and may be asked of any. Change: with [replication] a node opens its copy and serves what is in it; reads are answered from there. A change is checked and numbered by the holder of its stream, to whom others carry it whole; 503 while the holder is away, 504 where its answer was lost. Hosts that two tenants name are told.

--- a/reelusher/admin/api.py
+++ b/reelusher/admin/api.py
@@ -42,6 +42,7 @@
     status: Callable[[], dict[str, Any]]
     drain: Callable[[], bool]  # False: it drains already
     fleet: "Membership | None" = None
+    calls: TenantApi | None = None  # that have to do with tenants; None: as the table is this node's own
 
 
 class AdminApi:
@@ -62,7 +63,9 @@
             ("GET", "openapi.json", False): lambda asked: Reply(200, openapi.document()),
             ("POST", "drain", False): self._drain,
             ("GET", "fleet", False): self._fleet, ("POST", "fleet/forget", True): self._forget,
-            **TenantApi(parts.core, parts.tenants, parts.table).routes}
+            ("GET", "fleet/changes", False): self._no_replication,
+            ("POST", "fleet/take-over", True): self._no_replication,
+            **(parts.calls or TenantApi(parts.core, parts.tenants, parts.table)).routes}
 
     def routes(self) -> set[tuple[str, str]]:
         """Return what is answered, as method and path."""
@@ -125,6 +128,8 @@
     def _dispatch(self, method: str, target: str, message: http1.Message, token: Token) -> Reply:
         path, _, query = target.partition("?")
         match path.strip("/").split("/"):
+            case ["v1", "fleet", "changes"]:
+                kind, name = "fleet/changes", ""
             case ["v1", kind]:
                 name = ""
             case ["v1", kind, name] if name:
@@ -180,6 +185,9 @@
     def _fleet(self, _asked: Asked) -> Reply:
         return Reply(200, self._membership().status())
 
+    def _no_replication(self, _asked: Asked) -> Reply:
+        raise Refused(404, "this node's tenants are its own: its configuration has no [replication]")
+
     def _forget(self, asked: Asked) -> Reply:
         done = self._membership().forget(asked.name)
         if done is None:
--- a/reelusher/admin/openapi.py
+++ b/reelusher/admin/openapi.py
@@ -12,7 +12,9 @@
        "description": "say what would change, and change nothing"}
 LIMIT = {"name": "limit", "in": "query", "schema": {"type": "integer", "minimum": 1, "maximum": 1000}}
 IF_MATCH = {"name": "If-Match", "in": "header", "schema": TEXT,
-            "description": "the revision that this rests on"}
+            "description": "the version that this rests on"}
+COPIES = {"name": "copies", "in": "query", "schema": WHOLE,
+          "description": "with [replication]: answer once so many other members have the change"}
 NAME = {"name": "name", "in": "path", "required": True, "schema": TEXT}
 
 
@@ -38,30 +40,38 @@
         state={"enum": ["active", "suspended", "draining"], "readOnly": True}),
     "Error": _object(("error",), error=TEXT, field=TEXT)}
 
+# with [replication], of changes
+AWAY = {503: "who makes changes of this name is away, nothing was changed",
+        504: "it may have been made, or it was and too few others have it yet: the text says which"}
+
 # method, path, what it does, parameters, schema of the body, answers beside the errors that all have
 OPERATIONS: list[tuple[str, str, str, list[Any], Any, dict[int, str]]] = [
     ("GET", "/v1/tenants", "List tenants by name.", [
         LIMIT, {"name": "after", "in": "query", "schema": TEXT}], None, {200: "a page of tenants"}),
     ("POST", "/v1/tenants", "Add a tenant.", [
-        DRY, {"name": "Idempotency-Key", "in": "header", "schema": {**TEXT, "maxLength": 128}}], "Tenant",
+        DRY, COPIES, {"name": "Idempotency-Key", "in": "header", "schema": {**TEXT, "maxLength": 128}}],
+     "Tenant",
      {201: "the tenant", 200: "what would change", 400: "a field is wrong", 409: "the name is taken",
-      422: "the key was used for another", 507: "not made durable, not made"}),
+      422: "the key was used for another", 507: "not made durable, not made", **AWAY}),
     ("GET", "/v1/tenants/{name}", "Show a tenant.", [], None, {200: "the tenant", 404: "there is none"}),
-    ("PUT", "/v1/tenants/{name}", "Replace a tenant as a whole.", [DRY, IF_MATCH], "Tenant",
+    ("PUT", "/v1/tenants/{name}", "Replace a tenant as a whole.", [DRY, IF_MATCH, COPIES], "Tenant",
      {200: "the tenant", 400: "a field is wrong", 404: "there is none", 409: "it is being removed",
-      412: "it has another revision", 507: "not made durable, not made"}),
-    ("PATCH", "/v1/tenants/{name}", "Change a tenant by a merge patch (RFC 7396).", [DRY, IF_MATCH],
+      412: "it has another version", 507: "not made durable, not made", **AWAY}),
+    ("PATCH", "/v1/tenants/{name}", "Change a tenant by a merge patch (RFC 7396).", [DRY, IF_MATCH, COPIES],
      {"type": "object"}, {200: "the tenant", 400: "a field is wrong", 404: "there is none",
-                          409: "it is being removed", 412: "it has another revision",
-                          507: "not made durable, not made"}),
+                          409: "it is being removed", 412: "it has another version",
+                          507: "not made durable, not made", **AWAY}),
     ("DELETE", "/v1/tenants/{name}", "Remove a tenant once it has nothing in hand.", [
-        DRY, IF_MATCH, {"name": "within_ms", "in": "query", "schema": {**WHOLE, "maximum": 3_600_000}}], None,
+        DRY, IF_MATCH, COPIES, {
+            "name": "within_ms", "in": "query", "schema": {**WHOLE, "maximum": 3_600_000}}], None,
      {204: "it is gone", 202: "it is being removed", 200: "what would change", 404: "there is none",
-      412: "it has another revision", 507: "not made durable, not made"}),
-    ("POST", "/v1/tenants/{name}/suspend", "Refuse a tenant's new requests.", [DRY, IF_MATCH], None,
-     {200: "the tenant", 404: "there is none", 409: "it is being removed", 412: "it has another revision"}),
-    ("POST", "/v1/tenants/{name}/resume", "Take a tenant's requests again.", [DRY, IF_MATCH], None,
-     {200: "the tenant", 404: "there is none", 409: "it is being removed", 412: "it has another revision"}),
+      412: "it has another version", 507: "not made durable, not made", **AWAY}),
+    ("POST", "/v1/tenants/{name}/suspend", "Refuse a tenant's new requests.", [DRY, IF_MATCH, COPIES], None,
+     {200: "the tenant", 404: "there is none", 409: "it is being removed", 412: "it has another version",
+      **AWAY}),
+    ("POST", "/v1/tenants/{name}/resume", "Take a tenant's requests again.", [DRY, IF_MATCH, COPIES], None,
+     {200: "the tenant", 404: "there is none", 409: "it is being removed", 412: "it has another version",
+      **AWAY}),
     ("GET", "/v1/tenants/{name}/usage", "Tell how a tenant stands.", [], None,
      {200: "work in core-milliseconds, counts, parts of the node", 404: "there is none"}),
     ("GET", "/v1/audit", "List changes, oldest first.", [
@@ -76,6 +86,13 @@
      {200: "this node, its health, and all members that it knows", 404: "this node is in no fleet"}),
     ("POST", "/v1/fleet/forget/{name}", "Have the fleet forget dead members of a name.", [], None,
      {202: "they count as left", 404: "none is known", 409: "one lives"}),
+    ("GET", "/v1/fleet/changes", "Tell how far the members have the changes of the replicated table.", [],
+     None, {200: "streams, positions, who is behind", 404: "this node has no [replication]"}),
+    ("POST", "/v1/fleet/take-over/{name}", "Have this control member write a stream from now on.", [
+        DRY, {"name": "force", "in": "query", "schema": {"type": "boolean"},
+              "description": "also where others have changes that are not here: they are lost"}], None,
+     {200: "where the stream stands, and what is lost", 404: "there is no such stream",
+      409: "this member can't, or need not: the text says who can", 507: "not made durable, not made"}),
     ("GET", "/v1/counters", "Return all counters.", [], None, {200: "counts by name"}),
     ("GET", "/v1/openapi.json", "Return this document.", [], None, {200: "an OpenAPI document"}),
     ("POST", "/v1/drain", "Have the node leave.", [], None, {202: "it leaves", 409: "it does already"})]
--- /dev/null
+++ b/reelusher/admin/replicated_api.py
@@ -0,0 +1,246 @@
+"""Tenants of the replicated table over the administration API of any node.
+
+What is looked at comes from the node's own copy. A change is answered by the holder of the name's stream: a
+node that is not the holder sends the call on, whole, and gives back the answer. Who calls was told by the
+token which the asking node has checked; members believe each other.
+"""
+
+import json
+import threading
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+from urllib.parse import parse_qsl, quote, urlencode
+
+from loguru import logger
+
+from reelusher.admin.tenant_api import (
+    Asked, Handler, Refused, Reply, TenantApi, etag, refusing)
+from reelusher.config.operator import Tenant
+from reelusher.core.owner import Core
+from reelusher.fleet.membership.messages import Update
+from reelusher.fleet.membership.service import Unanswered, Unreached
+from reelusher.fleet.replication.messages import ChangeReply, ChangeRequest
+from reelusher.fleet.replication.streams import Position
+from reelusher.tenancy.durable.state import Standing as Kept
+from reelusher.tenancy.durable.state import shown
+from reelusher.tenancy.registry import Tenants
+from reelusher.tenancy.replicated import Busy, ReplicatedTable, Standing
+
+COPIES_S = 5.0  # that a call waits for copies
+CARRIED_S = 4.0  # that the holder has for a call that is carried there, beside the wait for copies
+MOST_WAITS = 3  # calls that wait for copies at once: members need the rest of the connections among them
+RETRY_S = 2, 6  # after which a call may come again that can't be answered now: drawn, so that they spread
+HEADERS = "if-match", "idempotency-key"  # that a call is carried with
+
+Key = tuple[str, str, bool]  # method, kind, is a name given
+
+
+class Fleet(Protocol):
+    """The other members, as far as calls are concerned."""
+
+    def live(self) -> list[Update]:
+        """Return the live members, this one first."""
+
+    def ask_once(self, place: str, request: Any, kind: type[ChangeReply], within_s: float) -> ChangeReply:
+        """Ask a member. Raises `Unreached` where it was told nothing, and `Unanswered`."""
+
+
+class Copies(Protocol):
+    """Who has which changes."""
+
+    def wait(self, stream: str, position: Position, wanted: int, within_s: float) -> int:
+        """Wait until so many other members have a change; return how many have it then."""
+
+
+class ReplicatedTenantApi(TenantApi):
+    """The calls that have to do with tenants, where they are kept in the replicated table."""
+
+    def __init__(self, core: Core, tenants: Tenants, table: ReplicatedTable, fleet: Fleet | None,
+                 copies: Copies | None, random: Random) -> None:
+        super().__init__(core, tenants, table)
+        self._replicated, self._fleet, self._copies = table, fleet, copies
+        self._counters, self._random = core.counters, random
+        self._waits = threading.BoundedSemaphore(MOST_WAITS)
+        self._makes: dict[Key, Handler] = {
+            key: react for key, react in self.routes.items() if key[0] != "GET"}
+        self.routes |= {key: self._sender(key) for key in self._makes}
+
+    # Looking, at this node's copy
+
+    def _list(self, asked: Asked) -> Reply:
+        limit, after = asked.whole("limit", 1000, 1000, 1), asked.query.get("after", "")
+        found = self._replicated.page(after, limit + 1)
+        page = found[:limit]
+        more = {"next": page[-1].tenant["name"]} if len(found) > limit else {}
+        return Reply(200, {"tenants": [shown(one) for one in page], **more})
+
+    def _show(self, asked: Asked) -> Reply:
+        kept = self._replicated.kept(asked.name)
+        if kept is None:
+            raise self._nobody(asked.name)
+        more = {"unreadable": kept.unreadable} if kept.unreadable else {}
+        return Reply(200, {**(self._told(self._replicated.overlapping(kept)) or {}), **more}, etag(kept))
+
+    def _usage(self, asked: Asked) -> Reply:
+        found = self._core.ask(lambda: self._tenants.usage(asked.name))
+        if found is None:
+            kept = self._replicated.kept(asked.name)
+            if kept is None:
+                raise self._nobody(asked.name)
+            found = {"name": asked.name, "state": kept.state, "in_hand": 0}  # nothing of its came here
+        return Reply(200, found)
+
+    # Changing
+
+    def _read(self, value: Any, name: str | None = None) -> Tenant:
+        return self._replicated.read(value, name)
+
+    def _known(self, name: str) -> bool:
+        return self._replicated.kept(name) is not None
+
+    def _apply(self, change: Callable[[], object]) -> None:
+        """Do nothing: the node goes by its copy, which has told it by now."""
+
+    def _told(self, kept: Kept | None) -> dict[str, Any] | None:
+        told = shown(kept)
+        if told is not None and isinstance(kept, Standing):
+            for key, overlaps in (("shadowed", kept.lost), ("shadows", kept.won)):
+                if overlaps:
+                    told[key] = [one.to_json() for one in overlaps]
+        return told
+
+    def _would(self, before: Kept | None, after: Kept | None) -> Reply:
+        if after is not None:
+            after = self._replicated.overlapping(Standing(after.tenant, after.state, ""))
+        return super()._would(before, after)
+
+    def _delete(self, asked: Asked) -> Reply:
+        if "within_ms" in asked.query:
+            raise Refused(400, "each node ends what it has in hand within its own time", "within_ms")
+        with self._table.changing():
+            before = self._current(asked)
+            if asked.dry:
+                return self._would(before, None)
+            self._table.change("remove", asked.name, asked.who)
+        return Reply(204)
+
+    def _make(self, key: Key, asked: Asked) -> Reply:
+        """Make a change at its holder, and wait until as many others have it as the caller wants."""
+        copies = asked.whole("copies", 0, max(0, len(self._live()) - 1))
+        stream = self._replicated.stream_of(self._name(asked))
+        self._sole(self._replicated.own_name)
+        if copies and not self._waits.acquire(blocking=False):
+            raise self._later("others wait for copies: nothing was changed")
+        try:
+            reply = self._makes[key](asked)
+            if copies and self._copies and not asked.dry and reply.status < 300:
+                position = self._replicated.position(stream)
+                have = self._copies.wait(stream, position, copies, COPIES_S)
+                if have < copies:
+                    raise Refused(504, f"made, and {have} other members have it so far, not {copies}",
+                                  "copies", reply.headers,
+                                  {"made": True, "copies": have, "value": reply.value})
+        except Busy as error:
+            raise self._later(f"{error}: nothing was changed") from None
+        finally:
+            if copies:
+                self._waits.release()
+        return reply
+
+    def _name(self, asked: Asked) -> str:
+        """Return the name of the tenant that a call is about."""
+        if asked.name:
+            return asked.name
+        # without a name it is refused wherever it is read
+        name = asked.value.get("name") if isinstance(asked.value, dict) else None
+        return name if isinstance(name, str) else ""
+
+    # Between nodes
+
+    def _live(self) -> list[Update]:
+        return self._fleet.live() if self._fleet else []
+
+    def _later(self, text: str) -> Refused:
+        return Refused(503, text, headers={"Retry-After": str(self._random.randint(*RETRY_S))})
+
+    def _sole(self, name: str) -> str:
+        """Return the place of the one live member of a name. Raises `Refused`."""
+        places = [member.place for member in self._live() if member.name == name]
+        if len(places) > 1:  # two that number the same stream would never be one table again
+            raise self._later(f"{len(places)} live members are named {name!r}: nothing was changed")
+        return places[0] if places else ""
+
+    def _sender(self, key: Key) -> Handler:
+        """Return what makes a change here or sends it on to its holder."""
+        def react(asked: Asked) -> Reply:
+            stream = self._replicated.stream_of(self._name(asked))
+            holder = self._replicated.holder(stream)
+            if holder == self._replicated.own_name:
+                return self._make(key, asked)
+            return self._send_on(key, asked, holder)
+        return react
+
+    def _send_on(self, key: Key, asked: Asked, holder: str) -> Reply:
+        method, kind, _ = key
+        place = self._sole(holder)
+        if not place or self._fleet is None:
+            self._counters.add("replication.holder_away")
+            raise self._later(f"{holder!r} makes the changes of {self._name(asked)!r} and is not there: "
+                              "nothing was changed")
+        path = f"/v1/tenants{'/' * bool(asked.name)}{quote(asked.name, '')}{kind.removeprefix('tenants')}"
+        request = ChangeRequest(
+            self._live()[0].place, method, f"{path}?{urlencode(asked.query)}",
+            {name: asked.headers[name] for name in HEADERS if name in asked.headers},
+            b"" if asked.value is None else json.dumps(asked.value).encode(), asked.who)
+        within_s = CARRIED_S + (COPIES_S if "copies" in asked.query else 0.0)
+        try:
+            reply = self._fleet.ask_once(place, request, ChangeReply, within_s)
+        except Unreached:
+            self._counters.add("replication.holder_away")
+            raise self._later(f"{holder!r} makes the changes of {self._name(asked)!r} and can't be reached: "
+                              "nothing was changed") from None
+        except Unanswered:
+            self._counters.add("replication.answers_lost")
+            raise Refused(504, f"{holder!r} was asked and did not answer: it may have been made; the same "
+                               "Idempotency-Key, or If-Match, tells") from None
+        self._counters.add("replication.calls_sent_on")
+        return Reply(reply.status, json.loads(reply.value), reply.headers)
+
+    def carried(self, request: ChangeRequest) -> ChangeReply:
+        """Answer a call that another member was asked."""
+        self._counters.add("replication.calls_carried")
+        try:
+            with refusing(request.method, request.target):
+                reply = self._carried(request)
+        except Refused as error:
+            reply = Reply(error.status, error.value, error.headers)
+        except Exception:
+            logger.exception("admin: {} {} failed", request.method, request.target)
+            reply = Reply(500, {"error": "internal error"})
+        return ChangeReply(reply.status, json.dumps(reply.value).encode(), reply.headers)
+
+    def _carried(self, request: ChangeRequest) -> Reply:
+        path, _, query = request.target.partition("?")
+        match path.strip("/").split("/"):
+            case ["v1", "tenants"]:
+                kind, name = "tenants", ""
+            case ["v1", "tenants", name]:
+                kind = "tenants"
+            case ["v1", "tenants", name, part]:
+                kind = f"tenants/{part}"
+            case _:
+                raise Refused(404, "no such resource")
+        key = request.method, kind, bool(name)
+        if key not in self._makes:
+            raise Refused(404, "no such change")
+        try:
+            value = json.loads(request.body) if request.body else None
+        except (ValueError, RecursionError) as error:
+            raise Refused(400, f"the body is not JSON: {error}") from None
+        asked = Asked(request.who, name, value, dict(parse_qsl(query)), request.headers)
+        stream = self._replicated.stream_of(self._name(asked))
+        holder = self._replicated.holder(stream)
+        if holder != self._replicated.own_name:  # who asked knows it otherwise; one of the two will learn
+            raise self._later(f"{holder!r} makes the changes of {self._name(asked)!r}: nothing was changed")
+        return self._make(key, asked)
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -33,12 +33,15 @@
 
 if TYPE_CHECKING:
     from reelusher.admin.api import AdminApi
+    from reelusher.admin.tenant_api import TenantApi
     from reelusher.fleet.learning.learner import Learner
     from reelusher.fleet.membership.messages import FactsReply
     from reelusher.fleet.membership.service import Membership
     from reelusher.fronts.operator import OperatorFront
     from reelusher.tenancy.durable.keys import KeyLog
+    from reelusher.tenancy.registry import Tenants
     from reelusher.tenancy.shares import Shares
+    from reelusher.tenancy.store import TenantTable
     from reelusher.upgrade.claims import Claims
     from reelusher.upgrade.lives import Lives
 
@@ -136,11 +139,28 @@
         """Set up what the operator's file asks for; without one, nothing of it is loaded."""
         from reelusher.admin.api import AdminApi, Parts
         from reelusher.fronts.ajp import AjpFront
+
+        if own.fleet:
+            from reelusher.fleet.membership.service import Membership
+            from reelusher.fleet.learning.learner import Learner
+            self.fleet = Membership(own.fleet, self.config.name, self._spread("fleet"), self.counters)
+            self.fleet.facts = self._facts
+            self._learner = Learner(self.fleet, self._spread("learning"), self.counters, self._take_facts)
+        tenants, table, calls = self._replicated(own) if own.replication else self._own_tenants(own)
+        if own.ajp:
+            self.fronts["ajp"] = AjpFront(
+                self.core, replace(own.ajp, max_connections=self._most_ajp()), tenants)
+        if own.admin:
+            self.admin = AdminApi(own.admin, Parts(self.core, tenants, table, self._pool, self.status,
+                                                   self.ask_to_leave, self.fleet, calls))
+
+    def _own_tenants(self, own: Operator) -> "tuple[Tenants, TenantTable, None]":
+        """Return tenants that are this node's only, from its file and its state folder."""
         from reelusher.tenancy import store
         from reelusher.tenancy.lifecycle import State
         from reelusher.tenancy.registry import Tenants
 
-        backends = backend_names(own.workers, own.balancers, self.config.platform is not None)
+        backends = self._backends(own)
         assert self._shares is not None
         folder, old = (own.admin.state_dir, own.admin.state_file) if own.admin else ("", "")
         kept = store.opened(Path(folder) if folder else None, Path(old) if old else None, own.tenants,
@@ -153,18 +173,41 @@
             self.core.keeper, self._key_log = log, log
         found = [(tenant, State(state)) for tenant, state in kept.tenants(own.class_names, backends)]
         tenants = Tenants(found, own.class_names, self._pool.runner, self.core, self._shares, backends)
-        if own.ajp:
-            self.fronts["ajp"] = AjpFront(
-                self.core, replace(own.ajp, max_connections=self._most_ajp()), tenants)
-        if own.fleet:
-            from reelusher.fleet.membership.service import Membership
-            from reelusher.fleet.learning.learner import Learner
-            self.fleet = Membership(own.fleet, self.config.name, self._spread("fleet"), self.counters)
-            self.fleet.facts = self._facts
-            self._learner = Learner(self.fleet, self._spread("learning"), self.counters, self._take_facts)
-        if own.admin:
-            self.admin = AdminApi(own.admin, Parts(self.core, tenants, kept, self._pool, self.status,
-                                                   self.ask_to_leave, self.fleet))
+        return tenants, kept, None
+
+    def _replicated(self, own: Operator) -> "tuple[Tenants, TenantTable, TenantApi]":
+        """Return the tenants of the whole fleet, from this node's copy of the replicated table."""
+        from reelusher.admin.replicated_api import ReplicatedTenantApi
+        from reelusher.fleet.replication.copy import LocalCopy
+        from reelusher.fleet.replication.messages import ChangeRequest
+        from reelusher.fleet.replication.streams import Replica
+        from reelusher.fleet.replication.rows import Broken
+        from reelusher.tenancy.feed import Feed, RowReader
+        from reelusher.tenancy.registry import Tenants
+        from reelusher.tenancy.replicated import ReplicatedTable
+
+        told, backends = own.replication, self._backends(own)
+        assert told is not None and self._shares is not None
+        rows = RowReader(own.class_names, backends, self.counters)
+        try:
+            copy = LocalCopy(Path(told.copy), own.fleet.name if own.fleet else "", told.control, rows.fault)
+        except Broken as error:
+            raise ConfigError("replication.copy", str(error)) from None
+        place = self.fleet.live()[0].place if self.fleet else ""
+        replica = Replica(place, told.control, copy, self._spread("replication"),
+                          own.fleet.zone if own.fleet else "")
+        feed = Feed(copy, rows)
+        tenants = Tenants(feed.rows(), own.class_names, self._pool.runner, self.core, self._shares, backends)
+        copy.on_change = feed.changed
+        feed.start(self.core, tenants)
+        table = ReplicatedTable(replica, copy, self.config.name, own.class_names, backends)
+        calls = ReplicatedTenantApi(self.core, tenants, table, self.fleet, None, self._spread("calls"))
+        if self.fleet:
+            self.fleet.serve[ChangeRequest] = calls.carried
+        return tenants, table, calls
+
+    def _backends(self, own: Operator) -> frozenset[str]:
+        return backend_names(own.workers, own.balancers, self.config.platform is not None)
 
     def _spread(self, what: str) -> Random:
         """Return what spreads one thing that is repeated in time, for each node in its own way."""
--- /dev/null
+++ b/reelusher/tenancy/replicated.py
@@ -0,0 +1,197 @@
+"""The replicated table of tenants, as the administration API of any node sees it.
+
+Reads are answered from the node's own copy. A change is made by the holder of the stream that the name
+belongs to: it checks the row, numbers it and has it on the disk before anybody hears of it.
+"""
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+
+from reelusher.config.operator import Tenant, read_tenant
+from reelusher.config.table import ConfigError, Table
+from reelusher.fleet.replication.copy import LocalCopy, Row
+from reelusher.fleet.replication.copy import Trail as Change
+from reelusher.fleet.replication.messages import MOST_TENANT, Entry
+from reelusher.fleet.replication.rows import Broken as CopyBroken
+from reelusher.fleet.replication.streams import Behind, Position, Replica, holder_of, stream_of
+from reelusher.tenancy.durable.journal import Broken
+from reelusher.tenancy.durable.state import Trail
+
+CHANGING_S = 1.0  # that a change waits for another; whoever asked over the fleet waits a little longer
+SHOWN = "state", "shadowed", "shadows", "unreadable"  # beside what makes a tenant
+FULL = 1 + 1e-8  # all guarantees together, with some room: each is kept in billionths
+MOST_TOLD = 20  # overlaps with others
+MOST_WHO = 256  # characters of who made a change, as entries carry it
+
+
+class Busy(Exception):
+    """A change can't be made here at present; nothing was changed."""
+
+
+@dataclass(slots=True, frozen=True)
+class Overlap:
+    """A host and prefix that two tenants name; one of them gets the requests."""
+
+    host: str  # "*": any, of tenants that name none
+    tenant: str  # the other one
+
+    def to_json(self) -> dict[str, str]:
+        """Return it as the administration API shows it."""
+        return {"host": self.host, "tenant": self.tenant}
+
+
+@dataclass(slots=True, frozen=True)
+class Standing:
+    """A tenant as the copy has it."""
+
+    tenant: dict[str, Any]
+    state: str
+    version: str  # EPOCH.NUMBER of the change that made it so
+    unreadable: str = ""  # why this node can't serve it
+    lost: tuple[Overlap, ...] = ()  # where others get what it names
+    won: tuple[Overlap, ...] = ()  # where it gets what others name
+
+
+def standing(row: Row) -> Standing:
+    """Read a row of the copy."""
+    return Standing(_tenant(row.name, row.tenant), row.state, f"{row.epoch}.{row.revision}", row.unreadable)
+
+
+def _tenant(name: str, data: bytes) -> dict[str, Any]:
+    """Read a tenant's JSON; of what is none, tell the name at least."""
+    try:
+        value = msgspec.json.decode(data)
+    except msgspec.DecodeError:
+        value = None
+    return {**value, "name": name} if isinstance(value, dict) else {"name": name}
+
+
+def trail(change: Change) -> Trail:
+    """Read a change of the copy's trail."""
+    before, after = ({**_tenant(change.name, data), "state": state} if state else None for state, data in (
+        (change.before_state, change.before), (change.after_state, change.after)))
+    op = "remove" if after is None else "put"
+    if before and after and change.before == change.after and change.before_state != change.after_state:
+        op = "state"
+    return Trail(change.number, op, change.name, change.who, change.at_ms, before, after)
+
+
+class ReplicatedTable:
+    """The table as one node has it; a `TenantTable` for the names whose streams this node holds."""
+
+    def __init__(self, replica: Replica, copy: LocalCopy, own_name: str, class_names: tuple[str, ...],
+                 backends: frozenset[str],
+                 wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000) -> None:
+        self.replica, self.copy, self.own_name = replica, copy, own_name
+        self._class_names, self._backends = class_names, backends
+        self._wall_ms = wall_ms
+        self._lock = threading.RLock()
+
+    # Who writes what
+
+    def stream_of(self, name: str) -> str:
+        """Return the stream that a tenant's name belongs to."""
+        return stream_of(name, self.replica.control)
+
+    def holder(self, stream: str) -> str:
+        """Return the name of the member that writes a stream, as far as is known here."""
+        return holder_of(self.replica.states[stream].epoch, self.replica.control)
+
+    def position(self, stream: str) -> Position:
+        """Return how far this node is in a stream."""
+        state = self.replica.states[stream]
+        return Position(state.epoch, state.number)
+
+    # Looking, at this node's copy
+
+    def kept(self, name: str) -> Standing | None:
+        """Return what is kept of a tenant."""
+        row = self.copy.get(name)
+        return None if row is None else standing(row)
+
+    def page(self, after: str, limit: int) -> list[Standing]:
+        """Return so many tenants with names past one, by name."""
+        return [standing(row) for row in self.copy.page(after, limit)]
+
+    def made_by(self, key: str) -> str | None:
+        """Return the name of the tenant that a call with this idempotency key made."""
+        return self.copy.key(key)
+
+    def audit(self, after: int, limit: int) -> list[Trail]:
+        """Return so many changes with a number above one, in the order in which they came to this node."""
+        return [trail(change) for change in self.copy.audit(after, limit)]
+
+    # Checking
+
+    def read(self, value: Any, name: str | None = None) -> Tenant:
+        """Check a tenant as JSON says it; where the name is given already, it may be left out."""
+        if isinstance(value, dict):
+            for key in SHOWN:
+                value.pop(key, None)
+        if name is not None and isinstance(value, dict) and value.setdefault("name", name) != name:
+            raise ConfigError("name", "is not the name in the path")
+        tenant = read_tenant(Table(value), self._class_names, self._backends)
+        before = self.kept(tenant.name)
+        held = _guarantee(before.tenant) if before else 0.0
+        if tenant.share.guarantee > held and self.copy.guaranteed() - held + tenant.share.guarantee > FULL:
+            raise ConfigError("share.guarantee", "the guarantees of all shares add up to more than 1")
+        size = len(msgspec.json.encode(tenant.to_json()))
+        if size > MOST_TENANT:
+            raise ConfigError(tenant.name, f"at most {MOST_TENANT} bytes of JSON are wanted, not {size}")
+        return tenant
+
+    def overlapping(self, kept: Standing) -> Standing:
+        """Return the same with where others get what a tenant names, and where it gets what others name."""
+        lost: list[Overlap] = []
+        won: list[Overlap] = []
+        own, prefix = str(kept.tenant["name"]), str(kept.tenant.get("prefix", "/"))
+        for host in kept.tenant.get("hosts") or [""]:
+            for other in self.copy.sharing(str(host), prefix)[:MOST_TOLD]:
+                if other != own:
+                    (lost if other < own else won).append(Overlap(str(host) or "*", other))
+        return replace(kept, lost=tuple(lost[:MOST_TOLD]), won=tuple(won[:MOST_TOLD]))
+
+    # Changing, by the holder only
+
+    @contextmanager
+    def changing(self) -> Iterator[None]:
+        """Keep others from changing what this node holds. Raises `Busy`."""
+        if not self._lock.acquire(timeout=CHANGING_S):
+            raise Busy("other changes are being made")
+        try:
+            yield
+        finally:
+            self._lock.release()
+
+    def change(self, op: str, name: str, who: str, tenant: dict[str, Any] | None = None,
+               state: str = "active", key: str = "") -> Standing | None:
+        """Number one change and have it on the disk. Raises `Busy`, and `Broken` where the disk refuses."""
+        before = self.kept(name)
+        if op == "put":
+            state = before.state if before else state
+        elif op == "remove":
+            state, tenant = "", None
+        elif before is not None:
+            tenant = before.tenant
+        data = b"" if tenant is None else msgspec.json.encode(tenant)
+        told = None if tenant is None else self.overlapping(Standing(tenant, state, ""))
+        made = Entry(0, name, self._wall_ms(), who[:MOST_WHO], state, data, key)
+        try:
+            entry = self.replica.accept(self.stream_of(name), self.own_name, made)
+        except Behind as error:
+            raise Busy(str(error)) from None
+        except CopyBroken as error:
+            raise Broken(str(error)) from None
+        return None if told is None else replace(told, version=f"{entry.epoch}.{entry.number}")
+
+
+def _guarantee(tenant: dict[str, Any]) -> float:
+    share = tenant.get("share")
+    told = share.get("guarantee", 0.0) if isinstance(share, dict) else 0.0
+    return float(told) if isinstance(told, int | float) else 0.0
