Tell where changes of the table stand, and let an operator take a stream over

Cause: operators have to see which member writes what and how far others are, and to go on without a writer that is lost. Change: GET /v1/fleet/changes and POST /v1/fleet/take-over/STREAM (dry run, force) with what is lost told; overlaps of two writers are logged and counted; calls on their way to others are bounded; descriptors of the copy are counted, and the end of a node lets go of it. Nothing of it is loaded without [replication], and nothing on the platform (test).

--- a/reelusher/admin/replicated_api.py
+++ b/reelusher/admin/replicated_api.py
@@ -25,12 +25,14 @@
 from reelusher.tenancy.durable.state import Standing as Kept
 from reelusher.tenancy.durable.state import shown
 from reelusher.tenancy.registry import Tenants
-from reelusher.tenancy.replicated import Busy, ReplicatedTable, Standing
+from reelusher.tenancy.replicated import Busy, ReplicatedTable, Standing, told
 
 COPIES_S = 5.0  # that a call waits for copies
 CARRIED_S = 4.0  # that the holder has for a call that is carried there, beside the wait for copies
 MOST_WAITS = 3  # calls that wait for copies at once: members need the rest of the connections among them
+MOST_SENT = 8  # calls that are on their way to other members at once; each holds a connection
 RETRY_S = 2, 6  # after which a call may come again that can't be answered now: drawn, so that they spread
+MOST_LISTED = 100  # rows that are told of at once
 HEADERS = "if-match", "idempotency-key"  # that a call is carried with
 
 Key = tuple[str, str, bool]  # method, kind, is a name given
@@ -62,9 +64,12 @@
         self._replicated, self._fleet, self._copies = table, fleet, copies
         self._counters, self._random = core.counters, random
         self._waits = threading.BoundedSemaphore(MOST_WAITS)
+        self._sends = threading.BoundedSemaphore(MOST_SENT)
         self._makes: dict[Key, Handler] = {
             key: react for key, react in self.routes.items() if key[0] != "GET"}
-        self.routes |= {key: self._sender(key) for key in self._makes}
+        self.routes |= {key: self._sender(key) for key in self._makes} | {
+            ("GET", "fleet/changes", False): self._changes,
+            ("POST", "fleet/take-over", True): self._take_over}
 
     # Looking, at this node's copy
 
@@ -91,6 +96,31 @@
             found = {"name": asked.name, "state": kept.state, "in_hand": 0}  # nothing of its came here
         return Reply(200, found)
 
+    def _changes(self, asked: Asked) -> Reply:
+        """Tell how far the members have the changes."""
+        table = self._replicated
+        places: dict[str, list[str]] = {}
+        for member in self._live():
+            places.setdefault(member.name, []).append(member.place)
+        streams = []
+        for stream in table.replica.control:
+            state, further = table.replica.states[stream], table.lacks(stream)
+            holder = table.holder(stream)
+            streams.append({
+                "stream": stream, "holder": holder, "holder_at": places.get(holder, []),
+                "position": told(table.position(stream)), "heard_of": told(further) if further else None,
+                "refilling": state.cursor >= 0, "lost": state.lost,
+                "taken_over": [{"epoch": epoch, "after": base} for epoch, base in state.bases]})
+        return Reply(200, {
+            "own": table.own_name, "control": list(table.replica.control), "tenants": table.copy.count(),
+            "guaranteed": table.copy.guaranteed(), "streams": streams,
+            "unreadable": {"count": table.copy.unreadable_count(), "tenants": [
+                {"name": name, "why": why} for name, why in table.copy.unreadable(MOST_LISTED)]},
+            "orphans": [{"number": one["number"], "stream": one["stream"],
+                         "version": f"{one['epoch']}.{one['revision']}", "tenant": one["name"],
+                         "who": one["who"], "at_ms": one["at_ms"], "state": one["state"]}
+                        for one in table.copy.orphans(asked.whole("after", 0, 1 << 53), MOST_LISTED)]})
+
     # Changing
 
     def _read(self, value: Any, name: str | None = None) -> Tenant:
@@ -103,12 +133,12 @@
         """Do nothing: the node goes by its copy, which has told it by now."""
 
     def _told(self, kept: Kept | None) -> dict[str, Any] | None:
-        told = shown(kept)
-        if told is not None and isinstance(kept, Standing):
+        made = shown(kept)
+        if made is not None and isinstance(kept, Standing):
             for key, overlaps in (("shadowed", kept.lost), ("shadows", kept.won)):
                 if overlaps:
-                    told[key] = [one.to_json() for one in overlaps]
-        return told
+                    made[key] = [one.to_json() for one in overlaps]
+        return made
 
     def _would(self, before: Kept | None, after: Kept | None) -> Reply:
         if after is not None:
@@ -156,13 +186,43 @@
         name = asked.value.get("name") if isinstance(asked.value, dict) else None
         return name if isinstance(name, str) else ""
 
+    def _take_over(self, asked: Asked) -> Reply:
+        """Have this member write a stream from now on, as an operator orders."""
+        table, stream, own = self._replicated, asked.name, self._replicated.own_name
+        if stream not in table.replica.control:
+            raise Refused(404, f"there is no stream {stream!r}: they are {', '.join(table.replica.control)}")
+        if own not in table.replica.control:
+            raise Refused(409, f"{own!r} writes nothing: call one of {', '.join(table.replica.control)}")
+        force, holder = asked.flag("force"), table.holder(stream)
+        if holder == own and not table.replica.states[stream].lost:
+            raise Refused(409, f"{own!r} writes stream {stream!r} already")
+        self._sole(own)
+        position, further = table.position(stream), table.lacks(stream)
+        found = {
+            "stream": stream, "holder": holder, "has": told(position),
+            "holder_lives": holder != own and any(member.name == holder for member in self._live()),
+            "heard_of": told(further) if further else None, "lost": _changes_past(position, further)}
+        if asked.dry:
+            return Reply(200, {"dry_run": True, **found})
+        if further is not None and not force:
+            raise self._later(f"others have stream {stream!r} up to {told(further)}, this member up to "
+                              f"{told(position)}: wait for them, or lose them by force=true", **found)
+        try:
+            begun = table.take_over(stream, force)
+        except Busy as error:
+            raise self._later(f"{error}: nothing was changed") from None
+        self._counters.add("replication.taken_over")
+        logger.warning("replication: {} writes stream {} from {} on, as {} ordered; others had heard of {}",
+                       own, stream, told(begun), asked.who, found["heard_of"] or "no more")
+        return Reply(200, {**found, "begins": told(begun)})
+
     # Between nodes
 
     def _live(self) -> list[Update]:
         return self._fleet.live() if self._fleet else []
 
-    def _later(self, text: str) -> Refused:
-        return Refused(503, text, headers={"Retry-After": str(self._random.randint(*RETRY_S))})
+    def _later(self, text: str, **more: Any) -> Refused:
+        return Refused(503, text, headers={"Retry-After": str(self._random.randint(*RETRY_S))}, more=more)
 
     def _sole(self, name: str) -> str:
         """Return the place of the one live member of a name. Raises `Refused`."""
@@ -193,8 +253,10 @@
             self._live()[0].place, method, f"{path}?{urlencode(asked.query)}",
             {name: asked.headers[name] for name in HEADERS if name in asked.headers},
             b"" if asked.value is None else json.dumps(asked.value).encode(), asked.who)
-        within_s = CARRIED_S + (COPIES_S if "copies" in asked.query else 0.0)
+        if not self._sends.acquire(blocking=False):
+            raise self._later("too many calls are on their way to other members: nothing was changed")
         try:
+            within_s = CARRIED_S + (COPIES_S if "copies" in asked.query else 0.0)
             reply = self._fleet.ask_once(place, request, ChangeReply, within_s)
         except Unreached:
             self._counters.add("replication.holder_away")
@@ -204,6 +266,8 @@
             self._counters.add("replication.answers_lost")
             raise Refused(504, f"{holder!r} was asked and did not answer: it may have been made; the same "
                                "Idempotency-Key, or If-Match, tells") from None
+        finally:
+            self._sends.release()
         self._counters.add("replication.calls_sent_on")
         return Reply(reply.status, json.loads(reply.value), reply.headers)
 
@@ -244,3 +308,10 @@
         if holder != self._replicated.own_name:  # who asked knows it otherwise; one of the two will learn
             raise self._later(f"{holder!r} makes the changes of {self._name(asked)!r}: nothing was changed")
         return self._make(key, asked)
+
+
+def _changes_past(position: Position, further: Position | None) -> int | None:
+    """Return how many changes are past a position; None where that is not known."""
+    if further is None:
+        return 0
+    return further.number - position.number if further.epoch == position.epoch else None
--- a/reelusher/admin/tenant_api.py
+++ b/reelusher/admin/tenant_api.py
@@ -71,13 +71,17 @@
             raise Refused(400, f"a whole number from {least} to {most} is wanted", key)
         return int(text)
 
+    def flag(self, key: str) -> bool:
+        """Read true or false from the query; without it, it is false."""
+        text = self.query.get(key, "false")
+        if text not in ("true", "false"):
+            raise Refused(400, "true or false is wanted", key)
+        return text == "true"
+
     @property
     def dry(self) -> bool:
         """Tell whether it only wants to know what would change."""
-        text = self.query.get("dry_run", "false")
-        if text not in ("true", "false"):
-            raise Refused(400, "true or false is wanted", "dry_run")
-        return text == "true"
+        return self.flag("dry_run")
 
 
 @dataclass(slots=True, frozen=True)
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -37,6 +37,7 @@
     from reelusher.fleet.learning.learner import Learner
     from reelusher.fleet.membership.messages import FactsReply
     from reelusher.fleet.membership.service import Membership
+    from reelusher.fleet.replication.copy import LocalCopy
     from reelusher.fronts.operator import OperatorFront
     from reelusher.tenancy.durable.keys import KeyLog
     from reelusher.tenancy.registry import Tenants
@@ -50,6 +51,7 @@
 BACKLOGS_PART = 0.1  # part of it that answers may take which slow callers have not read yet
 FILES = 16  # descriptors of the process itself: standard ones, those read or written for a moment, and some
 UPGRADE_FILES, STATE_FILES = 4, 8  # of claims and lives; of tenants' and keys' journals
+COPY_FILES = 12  # of the replicated table: four connections with file and log, what they share, a lock
 HANDOVER_MOST_S, HANDOVER_S = 3.0, 0.7  # an old process is ended after its longest deadline, and this
 WARM_S = 5.0  # a node that was started later than that ago has seen too little to teach
 MOST_RELOADS = 2  # one at work, and one that will read what is there by then; more would read the same
@@ -116,6 +118,7 @@
         self.fleet: Membership | None = None
         self._learner: Learner | None = None
         self._key_log: KeyLog | None = None
+        self._copy: LocalCopy | None = None
         if own:
             self._set_up(own)
 
@@ -190,7 +193,8 @@
         assert told is not None and self._shares is not None
         rows = RowReader(own.class_names, backends, self.counters)
         try:
-            copy = LocalCopy(Path(told.copy), own.fleet.name if own.fleet else "", told.control, rows.fault)
+            copy = self._copy = LocalCopy(Path(told.copy), own.fleet.name if own.fleet else "", told.control,
+                                          rows.fault)
         except Broken as error:
             raise ConfigError("replication.copy", str(error)) from None
         place = self.fleet.live()[0].place if self.fleet else ""
@@ -198,9 +202,14 @@
                           own.fleet.zone if own.fleet else "")
         feed = Feed(copy, rows)
         tenants = Tenants(feed.rows(), own.class_names, self._pool.runner, self.core, self._shares, backends)
-        copy.on_change = feed.changed
+        table = ReplicatedTable(replica, copy, self.config.name, own.class_names, backends, self.counters)
+
+        def changed(names: list[str]) -> None:
+            feed.changed(names)
+            table.noticed(names)
+
+        copy.on_change = changed
         feed.start(self.core, tenants)
-        table = ReplicatedTable(replica, copy, self.config.name, own.class_names, backends)
         calls = ReplicatedTenantApi(self.core, tenants, table, self.fleet, None, self._spread("calls"))
         if self.fleet:
             self.fleet.serve[ChangeRequest] = calls.carried
@@ -238,6 +247,9 @@
             if own.fleet:
                 from reelusher.fleet.membership import service
                 kept += service.DESCRIPTORS
+            if own.replication:
+                from reelusher.admin import replicated_api
+                kept += COPY_FILES + replicated_api.MOST_SENT + 1  # and the one that pulls
         return max(self.config.sockets - kept, LEAST_CONNECTIONS)
 
     def _most_ajp(self) -> int:
@@ -421,6 +433,7 @@
         if self.fleet:
             self.fleet.leave()
         lead(self.fronts.values(), self._order, self._late_s, self._asked_s, span_s, grace_s)
+        self._close_copy()
         left = self.core.attempts.owed
         logger.info("left after {:.0f} ms, {} unanswered", (time.monotonic() - self._asked_s) * 1000, left)
         logger.info("counters: {}", self.counters.summary())
@@ -448,6 +461,7 @@
             self._learner.close()
         if self.fleet:
             self.fleet.close()
+        self._close_copy()
         if self.vault:
             self.vault.close()
         if self.runtime:
@@ -461,6 +475,12 @@
         if self._lives:
             self._lives.close()
 
+    def _close_copy(self) -> None:
+        """Let go of the copy of the replicated table, once: with nothing half written."""
+        copy, self._copy = self._copy, None
+        if copy:
+            copy.close()
+
 
 def set_up_log() -> None:
     """Write log lines to standard error, faults in threads among them."""
--- a/reelusher/tenancy/replicated.py
+++ b/reelusher/tenancy/replicated.py
@@ -6,8 +6,8 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -15,6 +15,7 @@
 
 from reelusher.config.operator import Tenant, read_tenant
 from reelusher.config.table import ConfigError, Table
+from reelusher.core.counters import Counters
 from reelusher.fleet.replication.copy import LocalCopy, Row
 from reelusher.fleet.replication.copy import Trail as Change
 from reelusher.fleet.replication.messages import MOST_TENANT, Entry
@@ -27,6 +28,7 @@
 SHOWN = "state", "shadowed", "shadows", "unreadable"  # beside what makes a tenant
 FULL = 1 + 1e-8  # all guarantees together, with some room: each is kept in billionths
 MOST_TOLD = 20  # overlaps with others
+MOST_NOTICED = 100  # changes at once; more are a copy that is being filled
 MOST_WHO = 256  # characters of who made a change, as entries carry it
 
 
@@ -58,6 +60,11 @@
     won: tuple[Overlap, ...] = ()  # where it gets what others name
 
 
+def told(position: Position) -> str:
+    """Return a position as people read it."""
+    return f"{position.epoch}.{position.number}"
+
+
 def standing(row: Row) -> Standing:
     """Read a row of the copy."""
     return Standing(_tenant(row.name, row.tenant), row.state, f"{row.epoch}.{row.revision}", row.unreadable)
@@ -86,11 +93,11 @@
     """The table as one node has it; a `TenantTable` for the names whose streams this node holds."""
 
     def __init__(self, replica: Replica, copy: LocalCopy, own_name: str, class_names: tuple[str, ...],
-                 backends: frozenset[str],
+                 backends: frozenset[str], counters: Counters,
                  wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000) -> None:
         self.replica, self.copy, self.own_name = replica, copy, own_name
         self._class_names, self._backends = class_names, backends
-        self._wall_ms = wall_ms
+        self._counters, self._wall_ms = counters, wall_ms
         self._lock = threading.RLock()
 
     # Who writes what
@@ -108,6 +115,10 @@
         state = self.replica.states[stream]
         return Position(state.epoch, state.number)
 
+    def lacks(self, stream: str) -> Position | None:
+        """Return how far somebody was heard to be of late, where that is further than this node."""
+        return self.replica.claimed(stream, time.monotonic())
+
     # Looking, at this node's copy
 
     def kept(self, name: str) -> Standing | None:
@@ -172,7 +183,11 @@
     def change(self, op: str, name: str, who: str, tenant: dict[str, Any] | None = None,
                state: str = "active", key: str = "") -> Standing | None:
         """Number one change and have it on the disk. Raises `Busy`, and `Broken` where the disk refuses."""
-        before = self.kept(name)
+        before, stream = self.kept(name), self.stream_of(name)
+        further = self.lacks(stream)
+        if further is not None:  # its file was put back, or it was never told: it would number changes anew
+            raise Busy(f"others have stream {stream!r} up to {told(further)}, this member up to "
+                       f"{told(self.position(stream))}")
         if op == "put":
             state = before.state if before else state
         elif op == "remove":
@@ -180,15 +195,54 @@
         elif before is not None:
             tenant = before.tenant
         data = b"" if tenant is None else msgspec.json.encode(tenant)
-        told = None if tenant is None else self.overlapping(Standing(tenant, state, ""))
-        made = Entry(0, name, self._wall_ms(), who[:MOST_WHO], state, data, key)
+        made = None if tenant is None else self.overlapping(Standing(tenant, state, ""))
+        wanted = Entry(0, name, self._wall_ms(), who[:MOST_WHO], state, data, key)
         try:
-            entry = self.replica.accept(self.stream_of(name), self.own_name, made)
+            entry = self.replica.accept(stream, self.own_name, wanted)
         except Behind as error:
             raise Busy(str(error)) from None
         except CopyBroken as error:
             raise Broken(str(error)) from None
-        return None if told is None else replace(told, version=f"{entry.epoch}.{entry.number}")
+        if made is None:
+            return None
+        self._tell(made)
+        return replace(made, version=f"{entry.epoch}.{entry.number}")
+
+    def noticed(self, names: Sequence[str]) -> None:
+        """Look whether rows of other writers overlap with those that this node writes, and tell.
+
+        Two writers can't know of each other's changes until they have them.
+        """
+        if self.own_name not in self.replica.control or len(names) > MOST_NOTICED:
+            return
+        for name in names:
+            if self.holder(self.stream_of(name)) == self.own_name:
+                continue  # told when it was made
+            with suppress(CopyBroken):
+                kept = self.kept(name)
+                made = self.overlapping(kept) if kept is not None else None
+                if made is not None:
+                    self._tell(replace(made, lost=self._own(made.lost), won=self._own(made.won)))
+
+    def _own(self, overlaps: tuple[Overlap, ...]) -> tuple[Overlap, ...]:
+        return tuple(one for one in overlaps if self.holder(self.stream_of(one.tenant)) == self.own_name)
+
+    def _tell(self, made: Standing) -> None:
+        name = str(made.tenant["name"])
+        for winner, loser, host in (*((one.tenant, name, one.host) for one in made.lost),
+                                    *((name, one.tenant, one.host) for one in made.won)):
+            self._counters.warn("replication.shadowed", "replication: {} gets what {} names too: {}", winner,
+                                loser, host)
+
+    def take_over(self, stream: str, force: bool) -> Position:
+        """Begin an epoch of a stream with this member as its holder. Raises `Busy` and `Broken`."""
+        with self.changing():
+            try:
+                return self.replica.begin_term(stream, self.own_name, force)
+            except Behind as error:
+                raise Busy(str(error)) from None
+            except CopyBroken as error:
+                raise Broken(str(error)) from None
 
 
 def _guarantee(tenant: dict[str, Any]) -> float:
--- a/tests/test_replicated_api.py
+++ b/tests/test_replicated_api.py
@@ -1,26 +1,44 @@
 """The replicated table over the administration API of several nodes, each a whole one, on loopback."""
 
+import contextlib
 import http.client
 import json
+import os
+import socket
+import subprocess
+import sys
+import threading
 from collections.abc import Iterator
 from pathlib import Path
+from random import Random
 from typing import Any
 
+import parties
 import pytest
+import tomli_w
 from helpers import soon
-from scenario import TOKEN
+from replicas import names_of
+from scenario import SETTINGS, TOKEN
 
-from reelusher.admin.replicated_api import ReplicatedTenantApi
+from reelusher.admin import replicated_api
 from reelusher.config.load import merge
 from reelusher.config.operator import parse
-from reelusher.fleet.replication.messages import ChangeReply, ChangeRequest
-from reelusher.fleet.replication.streams import stream_of
+from reelusher.config.table import address_of
+from reelusher.fleet.replication.copy import LocalCopy
+from reelusher.fleet.replication.messages import ChangeReply, ChangeRequest, Entry
+from reelusher.fleet.replication.rows import Broken
+from reelusher.fleet.replication.streams import Replica, stream_of
 from reelusher.fronts.ajp import AjpFront
-from reelusher.server import Node
+from reelusher.net import Address
+from reelusher.server import COPY_FILES, Node
+from reelusher.tenancy import replicated
+from reelusher.tenancy.replicated import ReplicatedTable
+from reelusher.wire import ajp13
 
 CONTROL = ["c1", "c2"]
-C1, C2 = ([name for number in range(60) if stream_of(name := f"t{number}", CONTROL) == stream]
-          for stream in CONTROL)
+C1, C2 = (names_of(stream, 10) for stream in CONTROL)
+ROOT = Path(__file__).parent.parent
+Called = tuple[int, Any, dict[str, str]]  # status, body, headers (names in lower case)
 
 
 def config(folder: Path, name: str, seeds: list[str], **changes: Any) -> dict[str, Any]:
@@ -34,6 +52,19 @@
     return made | changes
 
 
+def called(place: Address, method: str, path: str, value: Any = None, **headers: str) -> Called:
+    """Call an administration API."""
+    line = http.client.HTTPConnection(*place, timeout=15)
+    line.request(method, path, None if value is None else json.dumps(value), {
+        "Authorization": f"Bearer {TOKEN}",
+        **{name.replace("_", "-"): text for name, text in headers.items()}})
+    answer = line.getresponse()
+    body = answer.read()
+    line.close()
+    return answer.status, json.loads(body) if body else None, {
+        name.lower(): text for name, text in answer.getheaders()}
+
+
 class Nodes:
     """Nodes by name. Each joins through the first."""
 
@@ -52,37 +83,46 @@
     def stop(self, name: str) -> None:
         self.all.pop(name).close()
 
-    def call(self, at: str, method: str, path: str, value: Any = None, **headers: str
-             ) -> tuple[int, Any, dict[str, str]]:
-        """Call a node's administration API; return status, body and headers (names in lower case)."""
+    def call(self, at: str, method: str, path: str, value: Any = None, **headers: str) -> Called:
+        """Call a node's administration API."""
         admin = self.all[at].admin
         assert admin is not None
-        line = http.client.HTTPConnection(*admin.address, timeout=15)
-        line.request(method, path, None if value is None else json.dumps(value), {
-            "Authorization": f"Bearer {TOKEN}",
-            **{name.replace("_", "-"): text for name, text in headers.items()}})
-        answer = line.getresponse()
-        body = answer.read()
-        line.close()
-        return answer.status, json.loads(body) if body else None, {
-            name.lower(): text for name, text in answer.getheaders()}
+        return called(admin.address, method, path, value, **headers)
+
+    def table(self, at: str) -> ReplicatedTable:
+        admin = self.all[at].admin
+        assert admin is not None and isinstance(admin._parts.table, ReplicatedTable)
+        return admin._parts.table
+
+    def replica(self, at: str) -> Replica:
+        return self.table(at).replica
 
     def positions(self, at: str) -> list[int]:
         """Return how far a node is in each stream."""
-        calls = self.all[at].admin._parts.calls  # type: ignore[union-attr]
-        assert isinstance(calls, ReplicatedTenantApi)
-        return calls._replicated.replica.announce()
+        return self.replica(at).announce()
+
+    def deaf(self, at: str, deaf: bool = True) -> None:
+        """Have a node pull nothing more, or again."""
+        replica = self.replica(at)
+        if deaf:
+            replica.next_pull = lambda now: None  # type: ignore[method-assign]
+        else:
+            del replica.next_pull
 
     def follows(self, first: str, second: str) -> bool:
         """Wait until two nodes are equally far."""
         return soon(lambda: self.positions(first) == self.positions(second))
 
-    def serves(self, at: str, name: str) -> bool:
-        """Tell whether a node serves a tenant."""
+    def owner(self, at: str, host: str) -> str:
+        """Return the name of the tenant that a node serves a host for; empty: none."""
         front = self.all[at].fronts["ajp"]
         assert isinstance(front, AjpFront)
-        found = front._tenants.match("GET", f"{name}.example", "/")
-        return found is not None and found.admitted and found.tenant.name == name
+        found = front._tenants.match("GET", host, "/")
+        return found.tenant.name if found is not None and found.admitted else ""
+
+    def serves(self, at: str, name: str) -> bool:
+        """Tell whether a node serves a tenant."""
+        return self.owner(at, f"{name}.example") == name
 
 
 def tenant(name: str, **more: Any) -> dict[str, Any]:
@@ -184,6 +224,185 @@
     assert nodes.call("c1", "POST", "/v1/tenants", tenant(C2[0]), Idempotency_Key="k1")[0] == 409
 
 
+@pytest.mark.parametrize("at", ["c1", "c2"])
+def test_no_change_is_answered_before_it_is_durable(nodes: Nodes, at: str) -> None:
+    nodes.start("c1", "c2")
+    replica, durable, asked = nodes.replica("c2"), threading.Event(), threading.Event()
+    apply = replica.rows.apply
+
+    def slow(*arguments: Any, **named: Any) -> list[str]:
+        assert named["durable"]
+        asked.set()
+        durable.wait(10)
+        return apply(*arguments, **named)
+
+    replica.rows.apply = slow  # type: ignore[method-assign]
+    answers: list[Called] = []
+    caller = threading.Thread(target=lambda: answers.append(
+        nodes.call(at, "POST", "/v1/tenants", tenant(C2[0]))))
+    caller.start()
+    assert asked.wait(10)
+    caller.join(0.3)
+    assert not answers and nodes.call("c2", "GET", f"/v1/tenants/{C2[0]}")[0] == 404
+    durable.set()
+    caller.join(10)
+    assert answers[0][0] == 201
+
+
+@pytest.mark.parametrize("at", ["c1", "c2"])
+def test_a_change_that_the_disk_refuses_is_not_made_and_the_next_gets_its_number(
+        nodes: Nodes, at: str) -> None:
+    nodes.start("c1", "c2")
+    replica = nodes.replica("c2")
+    apply, before = replica.rows.apply, nodes.positions("c2")
+
+    def full(*arguments: Any, **named: Any) -> list[str]:
+        raise Broken("the disk is full")
+
+    replica.rows.apply = full  # type: ignore[method-assign]
+    status, value, _ = nodes.call(at, "POST", "/v1/tenants", tenant(C2[0]))
+    assert status == 507 and "the disk is full" in value["error"] and nodes.positions("c2") == before
+    replica.rows.apply = apply  # type: ignore[method-assign]
+    assert nodes.call(at, "POST", "/v1/tenants", tenant(C2[0]))[2]["etag"] == '"9.1"'
+
+
+def test_while_one_change_is_made_another_waits_for_so_long_and_is_then_refused(
+        nodes: Nodes, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(replicated, "CHANGING_S", 0.1)
+    nodes.start("c1")
+    with nodes.table("c1").changing():
+        status, _, headers = nodes.call("c1", "POST", "/v1/tenants", tenant(C1[0]))
+    assert status == 503 and "retry-after" in headers
+    assert nodes.call("c1", "POST", "/v1/tenants", tenant(C1[0]))[0] == 201
+
+
+# All nodes
+
+
+def test_a_change_through_any_node_is_in_force_on_all(nodes: Nodes) -> None:
+    nodes.start("c1", "c2", "n1")
+    for at, name in (("n1", C1[0]), ("c1", C2[0]), ("n1", C2[1])):
+        assert nodes.call(at, "POST", "/v1/tenants", tenant(name))[0] == 201
+    assert soon(lambda: all(nodes.serves(at, name) for at in nodes.all for name in (C1[0], C2[0], C2[1])))
+    assert nodes.call("n1", "POST", f"/v1/tenants/{C2[0]}/suspend")[0] == 200
+    assert nodes.call("n1", "DELETE", f"/v1/tenants/{C1[0]}")[0] == 204
+    assert soon(lambda: not any(nodes.serves(at, name) for at in nodes.all for name in (C1[0], C2[0])))
+    listed = [nodes.call(at, "GET", "/v1/tenants")[1] for at in nodes.all]
+    assert [one["name"] for one in listed[0]["tenants"]] == sorted([C2[0], C2[1]])
+    assert listed[0] == listed[1] == listed[2]
+    first = nodes.call("n1", "GET", "/v1/tenants?limit=1")[1]
+    rest = nodes.call("n1", "GET", f"/v1/tenants?limit=1&after={first['next']}")[1]
+    assert first["tenants"] + rest["tenants"] == listed[0]["tenants"] and "next" not in rest
+    usage = nodes.call("n1", "GET", f"/v1/tenants/{C2[0]}/usage")[1]
+    assert (usage["name"], usage["state"], usage["in_hand"]) == (C2[0], "suspended", 0)
+    assert nodes.call("n1", "GET", f"/v1/tenants/{C1[0]}/usage")[0] == 404
+    told = nodes.call("n1", "GET", "/v1/audit?limit=1000")[1]["changes"]
+    assert sorted(one["change"] for one in told) == ["put", "put", "put", "remove", "state"]
+
+
+@pytest.mark.parametrize("winner_first", [True, False])
+def test_a_host_that_two_tenants_take_through_two_writers_is_the_same_ones_on_all(
+        nodes: Nodes, winner_first: bool) -> None:
+    nodes.start("c1", "c2", "n1")
+    won, lost = sorted((C1[0], C2[0]))
+    for name in (won, lost) if winner_first else (lost, won):
+        status, value, _ = nodes.call("n1", "POST", "/v1/tenants", tenant(name, hosts=["same.example"]))
+        assert status == 201
+        assert nodes.follows("c1", "c2") and nodes.follows("c1", "n1")
+    word, other = ("shadowed", won) if winner_first else ("shadows", lost)
+    assert value[word] == [{"host": "same.example", "tenant": other}]
+    for at in nodes.all:
+        assert soon(lambda: nodes.owner(at, "same.example") == won)  # noqa: B023
+        assert nodes.call(at, "GET", f"/v1/tenants/{lost}")[1]["shadowed"] == [
+            {"host": "same.example", "tenant": won}]
+    value = nodes.call("n1", "PATCH", f"/v1/tenants/{won}?dry_run=true", {"hosts": ["other.example"]})[1]
+    assert "shadows" not in value["after"]
+    assert nodes.call("n1", "PATCH", f"/v1/tenants/{won}", {"hosts": ["other.example"]})[0] == 200
+    assert soon(lambda: all(nodes.owner(at, "same.example") == lost for at in nodes.all))
+    assert any(node.counters.snapshot().get("replication.shadowed") for node in nodes.all.values())
+
+
+def test_a_call_may_wait_until_others_have_its_change(nodes: Nodes, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(replicated_api, "COPIES_S", 0.7)
+    nodes.start("c1", "c2", "n1")
+    assert nodes.call("c1", "POST", "/v1/tenants?copies=3", tenant(C2[0]))[1]["field"] == "copies"
+    for at, name in (("c1", C2[0]), ("c2", C2[1])):
+        assert nodes.call(at, "POST", "/v1/tenants?copies=2", tenant(name))[0] == 201
+        assert len({tuple(nodes.positions(node)) for node in nodes.all}) == 1
+    nodes.deaf("n1")
+    for at, name in (("c1", C2[2]), ("c2", C2[3])):
+        assert nodes.call(at, "POST", "/v1/tenants?copies=1", tenant(name))[0] == 201
+        path = f"/v1/tenants/{name}?copies=2"
+        status, value, headers = nodes.call(at, "PATCH", path, {"max_open": 7})
+        assert (status, value["made"], value["copies"]) == (504, True, 1)
+        assert nodes.call("c2", "GET", f"/v1/tenants/{name}")[2]["etag"] == headers["etag"]
+    assert nodes.call("c1", "DELETE", f"/v1/tenants/{C2[0]}?copies=1")[0] == 204
+
+
+def test_where_changes_stand_is_told(nodes: Nodes) -> None:
+    nodes.start("c1", "c2", "n1")
+    for name in (C1[0], C2[0], C2[1]):
+        value = tenant(name, share={"guarantee": 0.1})
+        assert nodes.call("n1", "POST", "/v1/tenants?copies=2", value)[0] == 201
+    told = nodes.call("n1", "GET", "/v1/fleet/changes")[1]
+    assert (told["own"], told["control"], told["tenants"]) == ("n1", CONTROL, 3)
+    assert told["guaranteed"] == pytest.approx(0.3) and told["orphans"] == []
+    assert [(one["stream"], one["holder"], one["position"]) for one in told["streams"]] == [
+        ("c1", "c1", "8.1"), ("c2", "c2", "9.2")]
+
+
+def test_a_row_that_a_node_can_not_serve_is_kept_told_and_served_by_others(nodes: Nodes) -> None:
+    nodes.start("c1", "c2")
+    nodes.start("n1", workers=[{"name": "w1"}])
+    assert nodes.call("n1", "POST", "/v1/tenants", tenant(C2[0], backend="w2"))[0] == 201
+    assert soon(lambda: nodes.serves("c1", C2[0])) and nodes.follows("n1", "c2")
+    told = nodes.call("n1", "GET", f"/v1/tenants/{C2[0]}")[1]
+    assert "backend" in told["unreadable"] and not nodes.serves("n1", C2[0])
+    told = nodes.call("n1", "GET", "/v1/fleet/changes")[1]["unreadable"]
+    assert told["count"] == 1 and told["tenants"][0]["name"] == C2[0]
+    assert nodes.call("c1", "GET", "/v1/fleet/changes")[1]["unreadable"]["count"] == 0
+    assert nodes.call("n1", "PATCH", f"/v1/tenants/{C2[0]}", {"backend": "w1"})[0] == 200
+    assert soon(lambda: nodes.serves("n1", C2[0]))
+
+
+# Take-overs
+
+
+def test_a_stream_whose_writer_is_lost_is_taken_over_by_order_and_what_is_lost_told(nodes: Nodes) -> None:
+    nodes.start("c1", "c2", "n1")
+    for name in C2[:2]:
+        assert nodes.call("c2", "POST", "/v1/tenants?copies=2", tenant(name))[0] == 201
+    for at in ("c1", "n1"):
+        nodes.deaf(at)
+    assert nodes.call("c2", "POST", "/v1/tenants", tenant(C2[2]))[0] == 201  # that nobody else has
+    path = "/v1/fleet/take-over/c2"
+    assert soon(lambda: nodes.call("c1", "POST", path + "?dry_run=true")[1]["heard_of"] == "9.3")
+    nodes.stop("c2")
+    assert nodes.call("c1", "POST", "/v1/tenants", tenant(C2[3]))[0] == 503
+    for at, where, status, named in (
+            ("n1", path, 409, "c1, c2"), ("c1", "/v1/fleet/take-over/x", 404, "c1, c2"),
+            ("c1", "/v1/fleet/take-over/c1", 409, "already"), ("c1", path, 503, "9.3")):
+        found = nodes.call(at, "POST", where)
+        assert found[0] == status and named in found[1]["error"]
+    status, value, _ = nodes.call("c1", "POST", path + "?dry_run=true")
+    assert (status, value["has"], value["heard_of"], value["lost"]) == (200, "9.2", "9.3", 1)
+    status, value, _ = nodes.call("c1", "POST", path + "?force=true")
+    assert (status, value["begins"], value["lost"]) == (200, "16.2", 1)
+    for at in ("c1", "n1"):
+        nodes.deaf(at, False)
+    assert soon(lambda: nodes.table("n1").holder("c2") == "c1")
+    status, _, headers = nodes.call("n1", "POST", "/v1/tenants?copies=1", tenant(C2[3]))
+    assert (status, headers["etag"]) == (201, '"16.3"')
+    nodes.start("c2")
+    assert nodes.follows("c2", "c1") and not nodes.serves("c2", C2[2])
+    assert soon(lambda: nodes.serves("c2", C2[3]))
+    told = nodes.call("c2", "GET", "/v1/fleet/changes")[1]
+    assert [(one["tenant"], one["version"]) for one in told["orphans"]] == [(C2[2], "9.3")]
+    assert nodes.call("c2", "PATCH", f"/v1/tenants/{C2[0]}", {"max_open": 7})[2]["etag"] == '"16.4"'
+    status, value, _ = nodes.call("c2", "POST", path)  # back to where it was
+    assert (status, value["holder"], value["holder_lives"], value["begins"]) == (200, "c1", True, "25.4")
+
+
 # Members that are away
 
 
@@ -229,3 +448,123 @@
         assert fleet.ask_once(place, request, ChangeReply).status == status
     request = ChangeRequest("x", "POST", "/v1/tenants", {}, b"{", "x")
     assert fleet.ask_once(place, request, ChangeReply).status == 400
+
+
+# Whole processes
+
+
+@contextlib.contextmanager
+def process(folder: Path, told: dict[str, Any]) -> Iterator["subprocess.Popen[bytes]"]:
+    """Run the program with an operator's file only."""
+    path = folder / "operator.toml"
+    path.write_text(tomli_w.dumps(told))
+    with (folder / "log").open("wb") as out:
+        made = subprocess.Popen([sys.executable, "-O", "-m", "reelusher"], cwd=ROOT, stderr=out, env={
+            **os.environ, "REELUSHER_OPERATOR": str(path), "PYTHONPATH": str(ROOT)})
+    try:
+        yield made
+    finally:
+        made.kill()
+        made.wait()
+
+
+def free_places(count: int) -> list[tuple[str, int]]:
+    with contextlib.ExitStack() as held:
+        return [held.enter_context(socket.create_server(("127.0.0.1", 0))).getsockname()
+                for _ in range(count)]
+
+
+def test_alone_with_all_others_and_all_writers_away_a_node_starts_and_serves_from_its_copy(
+        tmp_path: Path) -> None:
+    copy = LocalCopy(tmp_path / "n1.db", "reelusher", CONTROL)
+    writer = Replica("x", CONTROL, copy, Random(1))
+    for number, name in enumerate((C1[0], C2[0]), 1):
+        data = json.dumps(tenant(name)).encode()
+        writer.accept(stream_of(name, CONTROL), stream_of(name, CONTROL),
+                      Entry(0, name, number, "x", "active", data))
+    copy.close()
+    ajp, admin, away = ("{}:{}".format(*place) for place in free_places(3))
+    (tmp_path / "secret").write_text("a secret of sixteen or more")
+    world: dict[str, Any] = {"names": {}}
+    worker = parties.Container(world)
+    told = config(tmp_path, "n1", [away], ajp={"listen": ajp}, admin={"listen": admin, "token": TOKEN},
+                  workers=[{"name": "w1", "port": worker.address[1]}])
+    with process(tmp_path, told) as made:
+        world["places"] = {"ajp": address_of(ajp, "ajp")}
+        web = parties.Web(world)
+
+        def connects() -> bool:
+            assert made.poll() is None, (tmp_path / "log").read_text()
+            with contextlib.suppress(ConnectionRefusedError):
+                web.dial("ajp", ajp13.Packets(ajp13.TO_SERVER, ajp13.MOST_PACKET), web.note)
+                return True
+            return False
+
+        assert soon(connects)
+        for name in (C1[0], C2[0]):
+            web.send(["GET", "/days", f"host={name}.example"])
+            worker.expect(["GET", "/days"])
+            worker.send(["200", "monday"])
+            web.expect(["200", "monday"])
+        web.send(["GET", "/days", "host=nobody.example"])
+        web.expect(["404"])
+        status, value, headers = called(address_of(admin, "admin"), "DELETE", f"/v1/tenants/{C1[0]}")
+        assert status == 503 and "c1" in value["error"] and "retry-after" in headers
+        made.terminate()
+        assert made.wait(20) == 0
+    worker.close(["listener"])
+    kept = LocalCopy(tmp_path / "n1.db", "reelusher", CONTROL)
+    assert kept.count() == 2 and not kept.put_aside
+    kept.close()
+
+
+def test_a_copy_takes_no_more_descriptors_than_are_counted_for_it(tmp_path: Path) -> None:
+    def held() -> int:
+        return sum(str(tmp_path) in os.path.realpath(path) for path in Path("/proc/self/fd").iterdir())
+
+    copy = LocalCopy(tmp_path / "x.db", "f", CONTROL)
+    replica = Replica("x", CONTROL, copy, Random(1))
+    for number, name in enumerate(C1):
+        replica.accept("c1", "c1", Entry(0, name, number, "x", "active", json.dumps(tenant(name)).encode()))
+    threads = [threading.Thread(target=lambda: [copy.page("", 100) for _ in range(50)]) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert 4 <= held() <= COPY_FILES
+    copy.close()
+    assert held() == 0
+
+
+LOADS = """
+import json, sys
+from reelusher.config.load import load
+from reelusher.server import COPY_FILES, Node
+node = Node(load())
+node.close()
+print(json.dumps(sorted(sys.modules)))
+"""
+
+
+@pytest.mark.parametrize("where", ["on the platform", "without [replication]", "with [replication]"])
+def test_nothing_of_the_table_is_loaded_where_it_is_not_asked_for(tmp_path: Path, where: str) -> None:
+    own, told = tmp_path / "operator.toml", tmp_path / "config.json"
+    (tmp_path / "secret").write_text("a secret of sixteen or more")
+    value = config(tmp_path, "c1", [])
+    if where == "without [replication]":
+        del value["replication"]
+    own.write_text(tomli_w.dumps(value))
+    told.write_text(json.dumps({
+        "name": "n1", "settings": SETTINGS, "listen": "127.0.0.1:0", "operator": "127.0.0.1:0",
+        **dict.fromkeys(("runtime", "vault", "directory"), "127.0.0.1:1")}))
+    names = {"PROXY_CONFIG": str(told)} if where == "on the platform" else {"REELUSHER_OPERATOR": str(own)}
+    done = subprocess.run([sys.executable, "-c", LOADS], cwd=ROOT, capture_output=True, text=True, timeout=60,
+                          env={**os.environ, **names, "PYTHONPATH": str(ROOT)}, check=True)
+    loaded = set(json.loads(done.stdout))
+    replicated = {"sqlite3", "reelusher.fleet.replication", "reelusher.tenancy.replicated",
+                  "reelusher.tenancy.feed", "reelusher.admin.replicated_api"}
+    assert loaded & replicated == (replicated if where == "with [replication]" else set())
+    if where == "on the platform":
+        rest = ("reelusher.admin", "reelusher.fleet", "reelusher.fronts.ajp", "reelusher.tenancy", "msgspec",
+                "reelusher.upgrade")
+        assert [name for name in loaded if name.startswith(rest)] == []
