Write the page of capacity from what scale tests have kept

Cause: figures typed on a page go stale unseen, and what a role has to bear at full size stood nowhere. What is missing is sorted by the size of fleet at which it breaks. A first look-up of 0.01 us was an assertion left out under -O: scale tests have none now, and a test says so.

--- a/reelusher/lab/capacity/harness.py
+++ b/reelusher/lab/capacity/harness.py
@@ -7,12 +7,13 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from reelusher.lab.capacity.fit import Fit, fit, median
 
 FOLDER = Path(__file__).parents[3] / "docs" / "capacity"
 Figures = dict[str, float]
+T = TypeVar("T")
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,6 +103,13 @@
     return {made["name"]: made for made in found}
 
 
+def there(value: T | None, what: str = "what is measured is not there") -> T:
+    """Return what must be there; raise RuntimeError where it is not, also where assertions are off."""
+    if not value:
+        raise RuntimeError(what)
+    return value
+
+
 def each_us(work: Callable[[], object], least_s: float = 0.05) -> float:
     """Return the microseconds of processor time that something takes, done again until it counts."""
     count, took = 1, 0.0
--- a/reelusher/lab/capacity/roles.py
+++ b/reelusher/lab/capacity/roles.py
@@ -1,8 +1,15 @@
 """What the page says of each role and of what is missing, with references to figures that are kept."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from reelusher.fleet.learning.facts import MOST_FACTS
+from reelusher.fleet.membership.table import MOST_MEMBERS
+from reelusher.lab.capacity.budgets import (
+    CONTAINER_MOST, LINK_BYTES, MOST_CONNECTIONS, SOCKETS, WORKER_CONNECTIONS, derived, expected, ratio)
+
 WORKS, PART, MISSES = "works", "in part", "missing"
+Slope = Callable[[str, str], tuple[float, float]]  # fixed cost and slope of a figure of a scale test
 
 
 @dataclass(slots=True, frozen=True)
@@ -19,13 +26,164 @@
 
 @dataclass(slots=True, frozen=True)
 class Missing:
-    """One mechanism that there is not."""
+    """One mechanism that there is not; all else is taken to grow with the fleet, in proportion."""
 
     what: str
-    breaks: str
+    breaks: Callable[[], float]  # nodes at which it does
     arithmetic: str
     mechanism: str
 
 
-ROLES: dict[str, tuple[Row, ...]] = {}
-MISSING: tuple[Missing, ...] = ()
+NODE = (
+    Row("look-up of a request's tenant, 260,000 tenants",
+        "before: [[before/tenants-table.look_up_us@tenants]]; now: [[tenants-table.look_up_us@tenants]]",
+        "of [[expected.added_ms]] added", "index by host, then prefix", PART, "`tenants-table`"),
+    Row("a change of one tenant, 260,000 tenants",
+        "before: [[before/tenants-table.change_us@tenants]]; now: [[tenants-table.change_us@tenants]]",
+        "2 times that at 1,000", "a change costs what it changes", PART, "`tenants-table`"),
+    Row("start, 260,000 tenants in the operator's file (checking it, then the table)",
+        "before: [[before/tenants-table.check_s@tenants]], [[before/tenants-table.start_s@tenants]]; now: "
+        "[[tenants-table.check_s@tenants]], [[tenants-table.start_s@tenants]]", "10 s",
+        "names told apart by a set; one sort", PART, "`tenants-table`"),
+    Row("memory of 260,000 tenants from the operator's file",
+        "before: [[before/tenants-memory.table_mb@tenants]] beside [[before/tenants-memory.read_mb@tenants]] "
+        "for the file; now: [[tenants-memory.table_mb@tenants]], [[tenants-memory.read_mb@tenants]]",
+        "[[expected.control_mb]]", "all in memory: a local copy on disk is wanted", MISSES,
+        "`tenants-memory`"),
+    Row("a request at 272, 320 and 544 a second, 10 tenants: processor time",
+        "[[request.request_us@272]], [[request.request_us@320]], [[request.request_us@544]]",
+        "one core: 3.7, 3.1, 1.8 ms", "threads on blocking sockets, one owner", WORKS, "`request`"),
+    Row("the same: added for 99 in 100",
+        "[[request.added_p99_ms@272]], [[request.added_p99_ms@320]], [[request.added_p99_ms@544]]",
+        "[[expected.added_ms]]", "the same", PART, "`request`"),
+    Row("a connection of a caller, idle",
+        "[[callers-idle.descriptors_each@800]] descriptor, [[callers-idle.threads_each@800]] thread, "
+        "[[callers-idle.bytes_each@800]]", "`node.sockets`, `ajp.max_connections`", "a thread each", WORKS,
+        "`callers-idle`"),
+    Row("processor time of 10,000 idle connections", "[[callers-idle.core@10000]] of a core", "none told",
+        "each thread looks five times a second whether the node leaves", PART, "`callers-idle`"),
+    Row("connections of callers with 41,000 workers", "[[callers-left.connections_left@routes]] of 65,536 "
+        "(never fewer than 16)", "more than [[derived.connections_spread]]",
+        "`Node._most_connections` keeps all that workers may use", MISSES, "`callers-left`"),
+    Row("41,000 workers: memory of each; checking the file; gauges, ten times a second; facts told",
+        "[[workers-pool.bytes_each@routes]]; [[workers-pool.check_s@routes]]; "
+        "[[workers-pool.gauges_us@routes]]; [[workers-pool.seen_ms@routes]]", "[[expected.control_mb]], "
+        "[[expected.control_core]] of a core", "all members in memory, gauges add all up", PART,
+        "`workers-pool`"),
+    Row("threads of workers", "[[workers-threads.threads@64]] at 64 workers in use", "256",
+        "one pool of threads for all, 256 at most", WORKS, "`workers-threads`"),
+    Row("keys of keyed requests: each, a result of 1,000 bytes, a sweep each second",
+        "[[keys-window.key_bytes@16000]], [[keys-window.result_bytes@16000]], [[keys-window.sweep_ms@8342]]",
+        "a quarter of `node.memory_mb` for results", "windows end; results of the largest tenant go first",
+        WORKS, "`keys-window`"),
+    Row("accounts of 260,000 tenants: each; counters of each; the line with all counters",
+        "[[tenants-accounts.account_bytes@tenants]]; [[tenants-accounts.counter_bytes@tenants]]; "
+        "[[tenants-accounts.line_kb@tenants]]", "[[expected.control_mb]]",
+        "none is let go while its tenant is there", MISSES, "`tenants-accounts`"),
+    Row("membership at rest, 3,600 members: bytes, processor time, a death known to 99 %",
+        "[[membership-rest.bytes_per_s@nodes]], [[membership-rest.core@nodes]] of a core, "
+        "[[membership-rest.death_known_s@nodes]]", "[[expected.control_bytes_per_s]], "
+        "[[expected.control_core]] of a core", "SWIM with Lifeguard", WORKS, "`membership-rest`"),
+    Row("full states, 3,600 members: one, a second of exchanging them whole each 15 to 30 s",
+        "[[membership-states.state_kb@nodes]], [[membership-states.exchange_bytes_per_s@nodes]]",
+        "[[expected.control_bytes_per_s]]", "whole states; a digest first is wanted", MISSES,
+        "`membership-states`"),
+    Row("changes of configuration: bytes pulled, and given to machines that come back empty",
+        "[[derived.change_bytes_per_s]], [[derived.fill_bytes_per_s]]", "[[expected.control_bytes_per_s]]",
+        "announce and pull", MISSES, "arithmetic"),
+    Row("what a fresh node learns of 41,000 workers: an answer; within what is taken (1) or not (0)",
+        "[[learning.told_kb@41000]]; [[learning.fits@41000]]", "512 KB",
+        "three donors; the first 512 facts of each count", PART, "`learning`"),
+    Row("claims of keys while two processes serve, 11,700 keys: one, a look at all each 5 s",
+        "[[upgrade-claims.claim_us@11700]], [[upgrade-claims.sweep_ms@11700]]", "none told",
+        "a file each", WORKS, "`upgrade-claims`"),
+)
+CONTROL = (
+    Row("changes of configuration", "one each [[derived.change_every_s]]", "[[expected.in_force_s]]",
+        "the API of each node changes that node alone", MISSES, "arithmetic"),
+    Row("a change made durable, 260,000 tenants in the journal", "[[state-journal.change_ms@tenants]]",
+        "[[derived.change_every_s]]", "journal, synced", WORKS, "`state-journal`"),
+    Row("a start from the journal with 260,000 tenants; its size",
+        "[[state-journal.recover_s@tenants]], [[state-journal.kept_mb@tenants]]", "10 s",
+        "a snapshot, read whole", PART, "`state-journal`"),
+    Row("the whole table to a fresh machine", "[[derived.fill_mb]]", "from several members, paced",
+        "none", MISSES, "arithmetic"),
+)
+LIST = (
+    Row("reports of 3,600 nodes: all, for each of 6 machines",
+        "[[list-reports.reports_per_s@3600]], [[list-reports.machine_per_s@3600]]", "none told",
+        "`pacing/cadence.py`: as late as leaves room for tries", WORKS, "`list-reports`"),
+    Row("the most reports in 100 ms over the mean: at rest; started within 2 s",
+        "[[list-reports.most_over_mean@3600]], [[list-reports.start_over_mean@3600]]", "twice, three times",
+        "phases drawn anew", WORKS, "`list-reports`"),
+    Row("one report: bytes both ways; processor time of reading and noting it",
+        "[[list-handling.report_bytes@3600]], [[list-handling.take_us@3600]]", "none told",
+        "HTTP, a connection kept", WORKS, "`list-handling`"),
+    Row("the list: bytes, writing it once", "[[list-handling.list_kb@3600]], "
+        "[[list-handling.write_list_ms@3600]]", "none told", "not this program's", WORKS, "`list-handling`"),
+    Row("the list to 49,000 callers at each change: whole; the entry alone",
+        "[[derived.list_push_mb_per_s]], [[derived.list_delta_kb_per_s]] a machine", "125 MB/s, a link",
+        "not this program's", MISSES, "arithmetic"),
+    Row("a cold start of all 3,600: all listed after; most reports in 100 ms over the mean",
+        "[[start-all.listed_s@nodes]], [[start-all.most_over_mean@nodes]]", "none told",
+        "first reports spread over 0.25 s", PART, "`start-all`"),
+    Row("a zone of three lost and back: worth served", "[[start-zone.served_worth@192]] at 192 nodes",
+        "none told", "leaving a failing zone is issue 23", PART, "`start-zone`"),
+)
+AROUND = (
+    Row("a caller: requests a second; back at the same node after, were it to ask all in turn",
+        "[[derived.caller_requests_per_s]], [[derived.caller_returns_s]]", "`ajp.idle_ms`, 60 s",
+        "none: callers choose", MISSES, "arithmetic"),
+    Row("a node then holds", "[[derived.connections_spread]]", "400, 10,000 at most",
+        "the idle of whoever has most are closed for others", PART, "arithmetic"),
+    Row("nodes that a caller may keep connections to", "[[derived.subset_nodes]]", "[[expected.nodes]]",
+        "none", MISSES, "arithmetic"),
+    Row("a worker that all nodes use: connections kept open", "[[derived.worker_idle]]",
+        "8,192, as a usual container takes", "each node keeps up to 16, and lets none go", MISSES,
+        "arithmetic"),
+    Row("a worker that is away: tries", "[[derived.worker_probes_per_s]]", "none told",
+        "backoff with jitter; one request at a time finds out", WORKS, "arithmetic"),
+    Row("a worker: CPings", "one for each request", "none told", "`cping_timeout_ms`, 0 for none", WORKS,
+        "arithmetic"),
+)
+ROLES = {"node": NODE, "control": CONTROL, "list": LIST, "around": AROUND}
+
+
+def missing(slope: Slope) -> list[Missing]:
+    """Return what there is not, in the order in which it breaks as the fleet grows."""
+    state_fixed, state_slope = slope("membership-states", "exchange_bytes_per_s")
+    rest = slope("membership-rest", "bytes_per_s")[0]
+    workers = ratio("routes", "nodes")
+    push = derived("list_push_mb_per_s") * 1e6
+    found = [
+        Missing("placing tenants on parts of the fleet", lambda: 2,
+                "a node knows the keys that it has seen itself: a repeat that comes to another of two runs "
+                "again; of a tenant's 3.8 requests a second each of 3,600 nodes gets one in 16 minutes, so "
+                "shares, guarantees and kept results say nothing of the whole",
+                "rendezvous over the live members, a few nodes a tenant; it needs the table on all first"),
+        Missing("callers' subsets", lambda: MOST_CONNECTIONS / ratio("callers", "nodes"),
+                "each caller at each node: [[derived.callers_per_node]] connections for each node of the "
+                "fleet, against 400", "deterministic subsets by zone, told with the list"),
+        Missing("facts of workers by need", lambda: MOST_FACTS / workers,
+                "a fresh node heeds the first 512 facts; an answer past 512 KB is not taken at all",
+                "only what is away, and only of workers in use"),
+        Missing("full states told by a digest first",
+                lambda: (expected("control_bytes_per_s") - rest - state_fixed) / state_slope,
+                "whole states each 15 to 30 s beside the probes, against [[expected.control_bytes_per_s]]",
+                "a digest of what is known; the state only where it differs"),
+        Missing("descriptors of workers in use only", lambda: SOCKETS / WORKER_CONNECTIONS / workers,
+                "16 for each worker are kept from callers, of 65,536",
+                "a bound on connections to all workers together, idle ones let go"),
+        Missing("subsets at workers", lambda: CONTAINER_MOST / WORKER_CONNECTIONS,
+                "16 connections of each node, against 8,192 of a container",
+                "the same bound, and tenants on parts of the fleet"),
+        Missing("the list service's own design", lambda: expected("nodes") * (LINK_BYTES / push) ** (1 / 3),
+                "the whole list to each caller at each change grows with the cube of the fleet: "
+                "[[derived.list_push_mb_per_s]] a machine at 3,600 nodes, against 125",
+                "entries that changed, numbered, as the tenants' table has them; a tree of machines"),
+        Missing("room for more members",
+                lambda: MOST_MEMBERS * expected("nodes") / derived("members_remembered"),
+                "[[derived.members_remembered]] are remembered at 3,600, against 4,096",
+                "shorter memory of those that left; a larger table"),
+    ]
+    return sorted(found, key=lambda one: one.breaks())
