--- a/reelusher/lab/capacity/fleet.py
+++ b/reelusher/lab/capacity/fleet.py
@@ -13,6 +13,7 @@
 import sys
 from bisect import bisect_left
 from collections.abc import Callable, Iterable
+from functools import partial
 from math import ceil
 from pathlib import Path
 from random import Random
@@ -188,7 +189,7 @@
             self._wake(node)
 
     def _carry_out(self, node: Node, said: Said) -> None:
-        random, now = self.random, self.line.now
+        random = self.random
         for change in said.changes:
             if change.said.state is State.DEAD:
                 place = change.said.place
@@ -207,7 +208,6 @@
             node.swim.sync_with.clear()
             node.syncing = True
             self._compare(node, self.by_place[found])
-        del now
 
     def _way_s(self, one: Node, other: Node) -> float:
         return self.way[one.zone][other.zone] * (1 + JITTER * self.random.random())
@@ -306,7 +306,11 @@
             buckets = node.swim.differing(reply.digests)
             if buckets:
                 self._ask(node, other, BucketsRequest(node.place, buckets, node.swim.in_buckets(buckets)),
-                          lambda now: given(buckets), lambda got: got and self._merged(node, got.updates))
+                          lambda now: given(buckets), merged)
+
+        def merged(reply: StateReply | None) -> None:
+            if reply is not None:
+                self._merged(node, reply.updates)
 
         def given(buckets: list[int]) -> StateReply:
             self._merged(other, node.swim.in_buckets(buckets))
@@ -381,7 +385,8 @@
         now = self.line.now
         body = TENANT.replace(b"%s", name.encode()) + str(len(self.changes)).encode()
         try:
-            entry = node.replica.accept(holder, node.name, Entry(0, name, int(now * 1000), "ops", "active", body))
+            entry = node.replica.accept(holder, node.name, Entry(
+                0, name, int(now * 1000), "ops", "active", body))
         except Behind:
             return False
         stream = CONTROL.index(holder)
@@ -477,8 +482,7 @@
 
     def level(self) -> bool:
         """Tell whether all live nodes are at one position in every stream."""
-        ahead = [max(column) for column in zip(*(node.position for node in self.nodes if node.up), strict=True)]
-        return all(node.position == ahead for node in self.nodes if node.up)
+        return len({tuple(node.position) for node in self.nodes if node.up}) == 1
 
     def holding_dead(self, node: Node) -> int:
         """Count the live nodes that don't count one as live."""
@@ -526,7 +530,8 @@
             "sent_bytes_a_second_most": round(whole[-1], 1),
             "sent_bytes_a_second_most_but_control": round(max(
                 (row[1] + row[4] + HEADERS * row[0]) / seconds for row in rows[len(CONTROL):]), 1),
-            "membership_core_percent": round(100 * part[0], 4), "replica_core_percent": round(100 * part[1], 4),
+            "membership_core_percent": round(100 * part[0], 4),
+            "replica_core_percent": round(100 * part[1], 4),
             "sealing_core_percent": round(100 * sealing, 4),
             "core_percent": round(100 * (part[0] + part[1] + sealing), 4),
             "driver_core_percent": round(100 * (cpu / size / seconds - part[0] - part[1]), 4),
@@ -643,6 +648,10 @@
         "refused": fleet.refused}
 
 
+def _known(fleet: Fleet, victim: Node, need: float) -> bool:
+    return fleet.holding_dead(victim) >= need
+
+
 def play_death(given: argparse.Namespace) -> dict[str, Any]:
     """Membership alone: deaths one by one, a rack at once, a zone at once."""
     known: list[float] = []
@@ -654,7 +663,7 @@
         victim = fleet.nodes[given.size // 2 + number]
         fleet.kill(victim)
         need = 0.99 * (sum(node.up for node in fleet.nodes))
-        known.append(fleet.until(lambda victim=victim, need=need: fleet.holding_dead(victim) >= need, 60))
+        known.append(fleet.until(partial(_known, fleet, victim, need), 60))
     made: dict[str, Any] = {"rest": figures, "death_known_to_99_percent_median_s": round(median(known), 2),
                             "death_known_to_99_percent_most_s": round(max(known), 2)}
     for what, group in (("rack", [node for node in fleet.nodes if node.up][-40:]),
@@ -690,8 +699,9 @@
     given = parser.parse_args(argv)
     figures = PLAYS[given.play](given)
     words = sys.argv[1:] if argv is None else argv
-    made = {"name": given.name or given.play, "command": "python -m reelusher.lab.capacity.fleet " + " ".join(words),
-            "size": given.size, "zones": ZONES, "regions": REGIONS, "loss": LOSS, "figures": figures}
+    made = {"name": given.name or given.play,
+            "command": "python -m reelusher.lab.capacity.fleet " + " ".join(words), "size": given.size,
+            "zones": ZONES, "regions": REGIONS, "loss": LOSS, "figures": figures}
     print(json.dumps(made, indent=1))
     if given.name:
         FOLDER.mkdir(parents=True, exist_ok=True)
