Add hollow members, and a fill of a node that serves, to the live proof

1,000 members are more processes than a machine holds: those beyond the real nodes are the real Swim and Replica in one thread, whose datagrams and exchanges with real nodes are sealed and cross sockets. Their clock goes on by 20 ms at most between two looks, so that a process which does not keep up is slow as a whole, and tells by how much. Written against replication as it is designed; the parts that need it have not run.

--- a/reelusher/lab/capacity/live.py
+++ b/reelusher/lab/capacity/live.py
@@ -1,6 +1,7 @@
 """The live proof: real processes whose tenants are changed while they are killed, stopped and cut off.
 
     python -m reelusher.lab.capacity.live --nodes 24 --kills 200 --json FILE
+    python -m reelusher.lab.capacity.live fill --rows 260000
 
 Loopback only. Exit status: 0, 1 where a rule was broken. Ctrl-C ends every process by its id.
 """
@@ -21,12 +22,13 @@
 from statistics import median
 from typing import Any
 
-from reelusher.config.table import Address
+from reelusher.lab.capacity import fill
 from reelusher.lab.capacity.books import (
     ACTIVE, SUSPENDED, WORKERS, Books, History, Revision, Row, Step, answers_for, worker_of)
 from reelusher.lab.capacity.nodes import CLASS, Nodes, Places
-from reelusher.lab.capacity.wires import Callers, NamedWorker, NoAnswer, Told, Unreached, call
+from reelusher.lab.capacity.wires import Callers, NamedWorker, NoAnswer, Told, Unreached, answers, call
 from reelusher.lab.fleet.plan import Fault
+from reelusher.lab.fleet.processes import ROOT
 from reelusher.lab.fleet.relay import Net
 from reelusher.lab.fleet.rig import SERVICES, address_of, free_port
 
@@ -35,6 +37,7 @@
 POLL_S = 0.2  # between looks at one node's table
 BEAT_S = 0.02
 START_S = 60.0  # a process is up by then
+HOLLOW_S = 120.0  # the process of hollow members answers by then
 SETTLE_S = 60.0  # with everybody there again, all show the same by then
 ANSWER_S = 12.0  # a request has its answer by then: its due time is 5 s
 REST_S = 0.05, 0.3  # before a change that was not made is asked for again
@@ -97,6 +100,9 @@
         self.changing = self.asking = True
         self.late_s = 0.0
         self.cut = False
+        self.hollow: asyncio.subprocess.Process | None = None
+        self.hollow_line = asyncio.Lock()
+        self.hollow_before: dict[str, Any] = {}
 
     def _writers(self) -> dict[str, str]:
         if not self.control:
@@ -143,6 +149,8 @@
                 await self._break_things()
                 await self._end()
             finally:
+                if self.hollow is not None and self.hollow.returncode is None:
+                    self.hollow.kill()
                 for task in list(self.tasks):
                     task.cancel()
                 await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -165,7 +173,9 @@
         await asyncio.gather(*(self._start(name) for name in self.names))
         self.figures["all_up_s"] = round(self.loop.time() - began_s, 3)
         if self.control:
-            await self._joined()
+            await self._joined(0)
+        if self.proof.hollow:
+            await self._add_hollow()
         for name in self.names:
             self.spawn(self._watch(name))
         for name in self.tenants:
@@ -196,42 +206,24 @@
         """Start a node and wait until it answers."""
         self.state[name] = "starting"
         self.nodes.start(name)
-        if not await self._answers(name):
+        places = self.places[name]
+        if not await answers(places.admin, places.ajp, lambda: self.nodes.alive(name), START_S):
             self.books.broken.append(f"{name} did not come up within {START_S:.0f} s")
             return
         self.state[name] = "up"
 
-    async def _answers(self, name: str) -> bool:
-        ends_s = self.loop.time() + START_S
-        while self.loop.time() < ends_s and self.nodes.alive(name):
-            with contextlib.suppress(Unreached):
-                told = await self._api(name, "GET", "/v1/status", most_s=START_S)
-                if told is not None and told.status == 200 and await self._accepts(self.places[name].ajp):
-                    return True
-            await asyncio.sleep(0.05)
-        return False
-
-    @staticmethod
-    async def _accepts(place: Address) -> bool:
-        try:
-            _, writer = await asyncio.open_connection(*place)
-        except OSError:
-            return False
-        writer.close()
-        return True
-
     async def _api(self, node: str, method: str, path: str, value: Any = None,
                    headers: dict[str, str] | None = None, most_s: float = 10.0) -> Told | None:
         return await call(self.places[node].admin, method, path, value, headers, most_s)
 
-    async def _joined(self) -> None:
+    async def _joined(self, hollow: int) -> None:
         """Wait until each node counts all others as live."""
-        began_s = self.loop.time()
+        began_s, wanted = self.loop.time(), len(self.names) + hollow
 
         async def sees(name: str) -> bool:
             with contextlib.suppress(Unreached):
                 told = await self._api(name, "GET", "/v1/fleet")
-                return told is not None and told.status == 200 and told.value["live"] >= len(self.names)
+                return told is not None and told.status == 200 and told.value["live"] >= wanted
             return False
 
         while not all(await asyncio.gather(*map(sees, self.names))):
@@ -239,7 +231,59 @@
                 self.books.broken.append("the nodes did not find each other")
                 return
             await asyncio.sleep(0.1)
-        self.figures["all_joined_s"] = round(self.loop.time() - began_s, 3)
+        self.figures["hollow_joined_s" if hollow else "all_joined_s"] = round(self.loop.time() - began_s, 3)
+
+    # Hollow members
+
+    async def _add_hollow(self) -> None:
+        """Have hollow members join, from a process of their own."""
+        log = self.nodes.log_file("hollow").open("ab")
+        self.hollow = await asyncio.create_subprocess_exec(
+            sys.executable, "-O", "-m", "reelusher.lab.capacity.hollow", "--members", str(self.proof.hollow),
+            "--control", *self.control, "--secret", str(self.nodes.secret),
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=log, cwd=ROOT)
+        log.close()
+        await self._told_by_hollow()
+        await self._tell_hollow(join=["{}:{}".format(*places.advertise) for places in self.places.values()])
+        await self._joined(self.proof.hollow)
+        self.hollow_before = await self._tell_hollow()
+
+    async def _told_by_hollow(self) -> dict[str, Any]:
+        assert self.hollow is not None and self.hollow.stdout is not None
+        line = await asyncio.wait_for(self.hollow.stdout.readline(), HOLLOW_S)
+        if not line:
+            raise RuntimeError("the process of hollow members has ended")
+        told: dict[str, Any] = json.loads(line)
+        return told
+
+    async def _tell_hollow(self, **command: Any) -> dict[str, Any]:
+        """Give the process of hollow members a command; return how they stand."""
+        if self.hollow is None:
+            return {}
+        async with self.hollow_line:
+            assert self.hollow.stdin is not None
+            self.hollow.stdin.write(json.dumps(command).encode() + b"\n")
+            return await self._told_by_hollow()
+
+    async def _end_hollow(self) -> None:
+        """See that all hollow members have the table too, and end their process."""
+        if self.hollow is None:
+            return
+        wanted = {name: [SERIALS + row[0], row[1]] for name, row in self.books.expected().items() if row}
+        ends_s, told = self.loop.time() + SETTLE_S, dict[str, Any]()
+        most = self.proof.hollow
+        while (told := await self._tell_hollow(rows=wanted))["right"] < most:
+            if self.loop.time() > ends_s:
+                self.books.broken.append(f"only {told['right']} of {most} hollow members have all changes")
+                break
+            await asyncio.sleep(0.5)
+        clock_s, lost_s, processor_s = (
+            told[key] - self.hollow_before[key] for key in ("clock_s", "lost_s", "processor_s"))
+        self.figures["hollow"] = told | {"of_real_time": round(clock_s / (clock_s + lost_s), 3),
+                                         "of_a_core": round(processor_s / (clock_s + lost_s), 3)}
+        assert self.hollow.stdin is not None
+        self.hollow.stdin.close()
+        await asyncio.wait_for(self.hollow.wait(), START_S)
 
     # Looking
 
@@ -330,7 +374,7 @@
             case "patch":
                 return "PATCH", path, fields, match
             case "delete":
-                return "DELETE", f"{path}?within_ms=500", None, match
+                return "DELETE", path if self.control else f"{path}?within_ms=500", None, match
         return "POST", f"{path}/{step.op}", None, match
 
     async def _change(self, name: str) -> None:
@@ -371,6 +415,8 @@
             books.note_acked(name, revision_of(told.headers), self.loop.time())
             self._kill_after(name)
             return True
+        if told.status in (400, 401, 403, 405, 422):
+            raise RuntimeError(f"{step.op} of {name} was answered {told.status}: {told.value}")
         if told.status == MADE[step.op] and await self._made_before(name, step, told.status):
             return True
         if step.out:
@@ -479,9 +525,11 @@
         fault = Fault("cut", 0.0, 0.0, inside, frozenset(self.names) - inside)
         self.cut = True
         self.books.note_cut(self.names, self.loop.time(), True)
+        await self._tell_hollow(cut=[zone])
         self.net.begin(fault)
         await asyncio.sleep(seconds)
         self.net.end(fault)
+        await self._tell_hollow(cut=[])
         healed_s = self.loop.time()
         histories = [self.books.history(name) for name in self.tenants]
         made = [(one, len(one.steps) - 1 - (one.last.acked_s is None)) for one in histories]
@@ -564,6 +612,7 @@
         books.close(shown, revisions)
         resident_kb = median(map(self.nodes.resident_kb, self.up()))
         self.figures["resident_mb"] = round(resident_kb / 1024, 1)
+        await self._end_hollow()
         await self._leave()
 
     async def _last_requests(self, node: str) -> None:
@@ -640,6 +689,9 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Play a proof and print its figures; 0, or 1 where a rule was broken."""
+    words = sys.argv[1:] if argv is None else argv
+    if words[:1] == ["fill"]:
+        return fill.main(words[1:])
     usual = Proof()
     parser = argparse.ArgumentParser(prog="reelusher.lab.capacity.live", description="On loopback only.")
     parser.add_argument("--nodes", type=int, default=usual.nodes)
@@ -653,7 +705,7 @@
     parser.add_argument("--alone", action="store_true", help="one node with a journal, not replicated")
     parser.add_argument("--logs", type=Path, help="keep the nodes' logs and configurations in this folder")
     parser.add_argument("--json", type=Path, help="write the figures there")
-    given = parser.parse_args(argv)
+    given = parser.parse_args(words)
     nodes = 1 if given.alone else given.nodes
     began_s = time.monotonic()
     rig = play(Proof(nodes, given.kills, given.hollow, given.tenants, given.rate, given.changes, given.away,
--- a/reelusher/lab/capacity/nodes.py
+++ b/reelusher/lab/capacity/nodes.py
@@ -110,6 +110,11 @@
         lines = self.log_file(name).read_text(errors="replace").splitlines()
         return [line for line in lines if any(word in line for word in FAULTS)]
 
+    def processor_s(self, name: str) -> float:
+        """Return the processor time that a node's process has taken."""
+        fields = Path(f"/proc/{self.running[name].pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def resident_kb(self, name: str) -> int:
         """Return the resident memory of a node's process."""
         status = Path(f"/proc/{self.running[name].pid}/status").read_text()
--- a/reelusher/lab/capacity/wires.py
+++ b/reelusher/lab/capacity/wires.py
@@ -54,6 +54,20 @@
     return None
 
 
+async def answers(admin: Address, ajp: Address, alive: Callable[[], bool], most_s: float) -> bool:
+    """Wait until a node that was started answers at both addresses; tell whether it came to that."""
+    ends_s = asyncio.get_running_loop().time() + most_s
+    while alive() and asyncio.get_running_loop().time() < ends_s:
+        with contextlib.suppress(Unreached, OSError):
+            told = await call(admin, "GET", "/v1/status", most_s=most_s)
+            if told is not None and told.status == 200:
+                _, writer = await asyncio.open_connection(*ajp)
+                writer.close()
+                return True
+        await asyncio.sleep(0.05)
+    return False
+
+
 class NoAnswer(Exception):
     """A request had none; the text says why."""
 
--- a/tests/test_live_changes.py
+++ b/tests/test_live_changes.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from reelusher.lab.capacity import fill
 from reelusher.lab.capacity.books import ACTIVE, SUSPENDED, Books, Row, answers_for
 from reelusher.lab.capacity.live import Proof, Rig, percentiles, play, revision_of
 from reelusher.lab.capacity.wires import Callers, NoAnswer, Unreached
@@ -170,6 +171,26 @@
 # Real processes
 
 
+def test_eight_nodes_lose_no_change_while_they_are_killed_stopped_and_cut_off(tmp_path: Path) -> None:
+    rig = play(Proof(nodes=8, kills=20, tenants=16, rate=40), tmp_path)
+    assert rig.books.broken == []
+    assert rig.broke["kills"] == 20 and rig.broke["kills_of_writers"] >= 8
+    assert rig.broke["stops"] and rig.broke["restarts"] and rig.broke["cuts"] and rig.broke["copies_lost"]
+    assert rig.books.counts["changes_acked"] > 50 and rig.books.counts["answers_200"] > 100
+
+
+def test_hollow_members_join_real_nodes_and_have_every_change_in_the_end(tmp_path: Path) -> None:
+    rig = play(Proof(nodes=3, kills=0, hollow=40, tenants=6, rate=10), tmp_path)
+    assert rig.books.broken == []
+    assert rig.figures["hollow"]["right"] == 40
+
+
+def test_a_node_that_serves_gets_a_whole_table_and_its_callers_get_all_answers(tmp_path: Path) -> None:
+    figures = fill.play(5000, 50.0, 2.0, tmp_path, 60.0)
+    assert figures["broken"] == [] and figures["during_answers"] > 10
+    assert not [name for name in figures if "unanswered" in name or name == "twice"], figures
+
+
 def test_a_node_with_a_journal_loses_no_change_when_it_is_killed(tmp_path: Path) -> None:
     rig: Rig = play(Proof(nodes=1, kills=5, tenants=4, rate=20, replicated=False), tmp_path)
     assert rig.books.broken == []
