--- a/reelusher/lab/capacity/hollow.py
+++ b/reelusher/lab/capacity/hollow.py
@@ -63,11 +63,8 @@
 class Member:
     """One hollow member."""
 
-    def __init__(self, own: Update, table: Table, control: list[str], secret: bytes, fleet: str,
-                 random: Random) -> None:
+    def __init__(self, own: Update, control: list[str], secret: bytes, fleet: str, random: Random) -> None:
         self.swim, self.rows, self.zone = Swim(own, random, 0.0), MemoryRows(), own.zone
-        self.swim.table = table
-        self.swim.quiet()
         self.place = own.place
         self.replica = Replica(own.place, control, self.rows, random, own.zone)
         self.seal = Seal(secret, fleet, own.place, own.incarnation)
@@ -116,14 +113,13 @@
         everyone = [
             Update(f"{host}:{port}", f"h{number + 1}", zones[number % len(zones)], "", life,
                    State.ALIVE) for number, host in enumerate(hosts)]
-        tables = []
-        for number, own in enumerate(everyone):  # they know each other from the start
-            tables.append(table := Table(Random(f"{seed} table {number}")))
-            for said in everyone:
-                if said is not own:
-                    table.take(said, 0.0)
-        for number, (own, table) in enumerate(zip(everyone, tables, strict=True)):
-            member = Member(own, table, control, secret, fleet, Random(f"{seed} {number}"))
+        whole = Table(Random(seed))
+        for own in everyone:
+            whole.take(own, 0.0)
+        for number, own in enumerate(everyone):
+            member = Member(own, control, secret, fleet, Random(f"{seed} {number}"))
+            member.swim.table.fill(whole, own.place)  # they know each other from the start
+            member.swim.quiet()
             self.members[own.place] = member
             self._listen(member, (hosts[number], port))
             self._wake(member)
--- a/reelusher/lab/capacity/live.py
+++ b/reelusher/lab/capacity/live.py
@@ -240,7 +240,7 @@
         log = self.nodes.log_file("hollow").open("ab")
         self.hollow = await asyncio.create_subprocess_exec(
             sys.executable, "-O", "-m", "reelusher.lab.capacity.hollow", "--members", str(self.proof.hollow),
-            "--control", *self.control, "--secret", str(self.nodes.secret),
+            "--control", *self.control, "--secret", str(self.nodes.secret), "--sealed",
             stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=log, cwd=ROOT)
         log.close()
         await self._told_by_hollow()
