--- a/reelusher/lab/capacity/hollow.py
+++ b/reelusher/lab/capacity/hollow.py
@@ -34,15 +34,16 @@
     StateRequest, Update)
 from reelusher.fleet.membership.swim import Said, Swim
 from reelusher.fleet.membership.table import Table
-from reelusher.fleet.replication.messages import EntriesReply, EntriesRequest
+from reelusher.fleet.replication.messages import EntriesReply, EntriesRequest, Entry
 from reelusher.fleet.replication.rows import MemoryRows
-from reelusher.fleet.replication.streams import Pull, Replica
+from reelusher.fleet.replication.streams import Pull, Replica, stream_of
 from reelusher.lab.fleet.rig import free_port
 
 EXCHANGE_S = 2.0
 SYNC_S = 15.0, 30.0  # between exchanges of full states with a member by chance, as nodes do
 WAY_S = 0.001  # from one hollow member to another
 STEP_S = 0.02
+LOOK_S = 0.05  # between looks whether a change is everywhere
 READS = 4  # datagrams taken from one socket before the next
 SOURCES = StateRequest | FactsRequest | EntriesRequest
 FIRST_NET = 100  # hollow members are at 127.100.0.1 and on
@@ -384,6 +385,20 @@
             self.selector.unregister(one.sock)
             one.sock.close()
 
+    # Changes of its own
+
+    def change(self, name: str) -> tuple[str, int]:
+        """Have the member that writes a name change it; return the stream and the change's number."""
+        first = next(iter(self.members.values()))
+        stream = stream_of(name, first.replica.control)
+        writer = next(member for member in self.members.values() if member.swim.own.name == stream)
+        made = writer.replica.accept(stream, stream, Entry(0, name, 0, "rig", "active", b"{}"))
+        return stream, made.number
+
+    def lacking(self, stream: str, number: int) -> int:
+        """Return how many members do not have a change."""
+        return sum(member.replica.states[stream].number < number for member in self.members.values())
+
     # What the rig wants to know
 
     def status(self, wanted: dict[str, Any] | None = None) -> dict[str, Any]:
@@ -437,6 +452,7 @@
     parser.add_argument("--sealed", action="store_true", help="seal what goes between two of them too")
     parser.add_argument("--control", nargs="+", default=["n1", "n2", "n3"])
     parser.add_argument("--secret", type=Path, help="file with the secret of the fleet")
+    parser.add_argument("--changes", type=float, default=0.0, help="a second, by members of their own")
     given = parser.parse_args(argv)
     secret = given.secret.read_bytes().strip() if given.secret else b"a secret of hollow members"
     hollow = Hollow(given.members, given.control, secret, sealed=given.sealed)
@@ -445,14 +461,35 @@
         return 0
     hollow.run(time.monotonic() + 2.0)
     began_s, processor_s, now, lost_s = time.monotonic(), time.process_time(), hollow.now, hollow.lost_s
+    took = _changed(hollow, given.changes, began_s + given.seconds) if given.changes else []
     hollow.run(began_s + given.seconds)
     took_s = time.monotonic() - began_s
     told = hollow.status() | {
         "of_a_core": round((time.process_time() - processor_s) / took_s, 3),
         "of_real_time": round((hollow.now - now) / (hollow.now - now + hollow.lost_s - lost_s), 3)}
+    if took:
+        told["in_force"] = {"count": len(took), "median_s": round(took[len(took) // 2], 3),
+                            "p99_s": round(took[int(len(took) * 0.99)], 3), "most_s": round(took[-1], 3)}
     print(json.dumps(told, indent=1))
     return 0
 
 
+def _changed(hollow: Hollow, rate: float, until_s: float) -> list[float]:
+    """Make so many changes a second until a time; return how long each took to be everywhere."""
+    random, due_s, count = Random(2), hollow.now, 0
+    waiting: list[tuple[str, int, float]] = []
+    took: list[float] = []
+    while time.monotonic() < until_s or waiting and time.monotonic() < until_s + SYNC_S[1]:
+        if hollow.now >= due_s and time.monotonic() < until_s:
+            waiting.append((*hollow.change(f"t{count}"), hollow.now))
+            due_s, count = due_s + random.expovariate(rate), count + 1
+        hollow.run(time.monotonic() + LOOK_S)
+        there = [one for one in waiting if not hollow.lacking(*one[:2])]
+        took += [hollow.now - began_s for _, _, began_s in there]
+        waiting = [one for one in waiting if one not in there]
+    took += [float("inf") for _ in waiting]
+    return sorted(took)
+
+
 if __name__ == "__main__":
     sys.exit(main())
