--- a/reelusher/lab/capacity/live.py
+++ b/reelusher/lab/capacity/live.py
@@ -33,6 +33,7 @@
 from reelusher.lab.fleet.rig import SERVICES, address_of, free_port
 
 ZONES = ("a", "b", "c")
+NEWS_S = 0.01  # for each hollow member after a kill: their process carries the news of it for all
 MOST_CONTROL = 3
 POLL_S = 0.2  # between looks at one node's table
 BEAT_S = 0.02
@@ -562,6 +563,7 @@
             if number % EACH_RESTART == 3 and (up := self.up()):
                 self.spawn(self._restart(self.random.choice(up)))
             await self._one_kill(number)
+            await asyncio.sleep(self.proof.hollow * NEWS_S)
         self.figures["faults_s"] = round(self.loop.time() - began_s, 3)
 
     async def _one_kill(self, number: int) -> None:
