--- a/reelusher/lab/capacity/fill.py
+++ b/reelusher/lab/capacity/fill.py
@@ -15,10 +15,13 @@
 import tempfile
 import time
 from collections import Counter
+from dataclasses import replace
 from pathlib import Path
 from statistics import median
 from typing import Any
 
+from reelusher.fleet.replication.copy import LocalCopy
+from reelusher.fleet.replication.messages import Entry
 from reelusher.lab.capacity.nodes import CLASS, Nodes, Places
 from reelusher.lab.capacity.wires import Callers, NamedWorker, NoAnswer, Unreached, answers, call
 from reelusher.lab.fleet.rig import SERVICES, address_of, free_port
@@ -43,8 +46,6 @@
 
 def write(path: Path, rows: int) -> None:
     """Put so many rows past those that there are into the copy of a writer that does not run."""
-    from reelusher.fleet.replication.copy import LocalCopy
-    from reelusher.fleet.replication.messages import Entry
     copy = LocalCopy(path, "reelusher", [WRITER])
     state, at_ms = copy.states()[WRITER], time.time_ns() // 1_000_000
     try:
@@ -54,7 +55,7 @@
             for place, number in enumerate(range(state.number + 1, upto + 1), begin):
                 row = json.dumps(tenant(name_of(place), place)).encode()
                 entries.append(Entry(number, name_of(place), at_ms, "rig", "active", row, "", state.epoch))
-            state = type(state)(state.epoch, upto, state.bases, state.horizon, upto, upto)
+            state = replace(state, number=upto, covered=upto, goal=upto)
             copy.apply(WRITER, entries, state)
     finally:
         copy.close()
--- a/reelusher/lab/capacity/live.py
+++ b/reelusher/lab/capacity/live.py
@@ -22,6 +22,7 @@
 from statistics import median
 from typing import Any
 
+from reelusher.fleet.replication.streams import stream_of
 from reelusher.lab.capacity import fill
 from reelusher.lab.capacity.books import (
     ACTIVE, SUSPENDED, WORKERS, Books, History, Revision, Row, Step, answers_for, worker_of)
@@ -108,7 +109,6 @@
     def _writers(self) -> dict[str, str]:
         if not self.control:
             return dict.fromkeys(self.tenants, self.names[0])
-        from reelusher.fleet.replication.streams import stream_of
         return {name: stream_of(name, self.control) for name in self.tenants}
 
     def spawn(self, work: Any) -> None:
