--- a/reelusher/lab/capacity/books.py
+++ b/reelusher/lab/capacity/books.py
@@ -192,6 +192,9 @@
         """Note a request's answer, which must be that of a row; a node may refuse under any."""
         self.counts[f"answers_{status}"] += 1
         if status == 503:
+            steps = self.history(name).steps[floor:]
+            self.counts["refused_while_active"] += all(
+                step.row is not None and step.row[1] == ACTIVE for step in steps if step.possible)
             return
         if status == 500:
             excused = self.was_away(node, began_s, now)
--- a/reelusher/lab/capacity/live.py
+++ b/reelusher/lab/capacity/live.py
@@ -358,7 +358,7 @@
         turned = ("suspend", (row[0], SUSPENDED)) if row[1] == ACTIVE else ("resume", (row[0], ACTIVE))
         if turned[1] not in history.rows():
             able.append(turned)
-        return self.random.choices(able, [3, 3, 1, 2][:len(able)])[0]
+        return self.random.choices(able, [3, 3, 1, 2 if row[1] == ACTIVE else 8][:len(able)])[0]
 
     def _call_of(self, name: str, step: Step, key: str) -> tuple[str, str, Any, dict[str, str]]:
         """Return method, path, body and headers of a change."""
