--- a/tests/test_capacity_model.py
+++ b/tests/test_capacity_model.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from reelusher.fleet.membership.messages import Seal
 from reelusher.lab.capacity import fleet
 from reelusher.lab.capacity.fleet import Fleet, Meter, lost, spread_figures
 
@@ -64,7 +65,7 @@
     node = model.nodes[0]
     assert 80 < node.sent_bytes / node.sent < 400
     message = fleet.Message(0, node.place, 9, "", [node.swim.own], node.replica.announce())  # type: ignore
-    seal = fleet.Seal(b"a secret of sixteen", "reelusher", node.place, fleet.LIFE_MS)
+    seal = Seal(b"a secret of sixteen", "reelusher", node.place, fleet.LIFE_MS)
     seal._number = 1 << 20
     counted = len(model._encoder.encode(message)) + model._envelope
     assert counted == pytest.approx(len(seal.close(message)), abs=2)
--- a/tests/test_local_copy.py
+++ b/tests/test_local_copy.py
@@ -26,7 +26,7 @@
 from reelusher.fleet.replication.messages import Entry
 from reelusher.fleet.replication.rows import Broken, MemoryRows, StreamState
 from reelusher.fleet.replication.streams import Behind, Replica, first_epoch, stream_of
-from reelusher.tenancy.registry import _under
+from reelusher.tenancy.index import lies_under
 
 C1 = names_of("c1", 40)
 FIRST = StreamState(first_epoch("c1", CONTROL))
@@ -141,7 +141,7 @@
         tenants.sort(key=lambda one: (not one[1], -len(one[2]), one[0]))
         for host, path in asked:
             linear = next((name for name, hosts, prefix in tenants
-                           if (not hosts or host.lower() in hosts) and _under(path, prefix)), None)
+                           if (not hosts or host.lower() in hosts) and lies_under(path, prefix)), None)
             found = kept.match(host, path)
             assert (found.name if found else None) == linear
 
