Accept, pull, give and count changes of the table of tenants in a node's threads

writer.py says when a holder may number a change: not before others were heard after a start, nor with an older copy before it has pulled its own changes back and begun a new term, nor with one that replaced a damaged file before a take-over is ordered. census.py knows who has what and calls those not heard. service.py has the two threads, over the sealed exchange of membership.

--- a/reelusher/fleet/replication/copy.py
+++ b/reelusher/fleet/replication/copy.py
@@ -52,13 +52,14 @@
 MOST_ORPHANS = 10_000
 MOST_ASIDE = 2  # damaged files that are kept
 GUARANTEE = 1_000_000_000  # guarantees are added up in parts of this: sums are exact
+LOST, PUT_BACK = 1, 2  # why a stream's numbers are in doubt
 ANY = ""  # in place of a host, of tenants that name none; hosts have a mark before them
 CHUNK = 64  # prefixes looked up at once
 
 SCHEMA = """
 CREATE TABLE meta(key TEXT PRIMARY KEY, value) WITHOUT ROWID;
 CREATE TABLE streams(stream INTEGER PRIMARY KEY, epoch INTEGER, number INTEGER, bases TEXT, horizon INTEGER,
-    covered INTEGER, goal INTEGER, generation INTEGER, cursor INTEGER, lost INTEGER);
+    covered INTEGER, goal INTEGER, generation INTEGER, cursor INTEGER, doubt INTEGER);
 CREATE TABLE rows(id INTEGER PRIMARY KEY, name TEXT NOT NULL UNIQUE, stream INTEGER NOT NULL,
     number INTEGER NOT NULL, epoch INTEGER NOT NULL, generation INTEGER NOT NULL, state TEXT NOT NULL,
     tenant BLOB NOT NULL, at_ms INTEGER NOT NULL, who TEXT NOT NULL, key TEXT NOT NULL,
@@ -395,12 +396,12 @@
 
     def _read_states(self, conn: sqlite3.Connection, stream: str = "") -> dict[str, StreamState]:
         made = {}
-        for at, epoch, number, bases, horizon, covered, goal, generation, cursor, lost in conn.execute(
+        for at, epoch, number, bases, horizon, covered, goal, generation, cursor, doubt in conn.execute(
                 "SELECT * FROM streams WHERE ? < 0 OR stream = ?", (self._ids.get(stream, -1),) * 2):
             try:
                 told = tuple((one, base) for one, base in msgspec.json.decode(bases))
                 made[self._control[at]] = StreamState(epoch, number, told, horizon, covered, goal, generation,
-                                                      cursor, bool(lost))
+                                                      cursor, bool(doubt & LOST), bool(doubt & PUT_BACK))
             except (msgspec.MsgspecError, IndexError, TypeError, ValueError) as error:
                 self.damaged = self.damaged or str(error)
                 raise Damaged(f"{self.path}: streams: {error}") from None
@@ -409,7 +410,8 @@
     def _store(self, conn: sqlite3.Connection, stream: str, state: StreamState) -> None:
         conn.execute("INSERT OR REPLACE INTO streams VALUES(?, ?, ?, ?, ?, ?, ?, ?, ?, ?)", (
             self._ids[stream], state.epoch, state.number, msgspec.json.encode(state.bases).decode(),
-            state.horizon, state.covered, state.goal, state.generation, state.cursor, state.lost))
+            state.horizon, state.covered, state.goal, state.generation, state.cursor,
+            LOST * state.lost | PUT_BACK * state.put_back))
 
     def given(self, stream: str, since: int, most_bytes: int = MOST_PIECE) -> Given | None:
         """Return entries past a number, and where the stream stands at that instant."""
--- a/reelusher/fleet/replication/rows.py
+++ b/reelusher/fleet/replication/rows.py
@@ -29,6 +29,7 @@
     generation: int = 0  # of the rows that are taken now
     cursor: int = -1  # how far a refill is; -1: there is none
     lost: bool = False  # begun in place of a file that was damaged: which numbers were given is not known
+    put_back: bool = False  # its holder had to be told of its own changes: they are not known here either
 
     @property
     def since(self) -> int:
--- a/reelusher/fleet/replication/streams.py
+++ b/reelusher/fleet/replication/streams.py
@@ -24,7 +24,7 @@
 
 import threading
 from collections import deque
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from itertools import pairwise
@@ -180,8 +180,10 @@
     """One node's part."""
 
     def __init__(self, own_place: str, control: Sequence[str], rows: Rows, random: Random, zone: str = "",
-                 now: float = 0.0) -> None:
-        """Members of the same zone are asked before others."""
+                 now: float = 0.0, own_name: str = "") -> None:
+        """Members of the same zone are asked before others; by its name a node may be a stream's holder."""
+        self.own_name = own_name
+        self.guard: Callable[[str], str] = lambda stream: ""  # why a stream may not be written, see `writer`
         self.own_place, self.control, self.rows = own_place, ordered(control), rows
         self._zone = zone
         self._random = random
@@ -204,6 +206,7 @@
         """Read anew where the rows stand: they were put aside and others begun."""
         with self._writing:
             kept = self.rows.states()
+            self._level.clear()
             self._adopt({stream: kept.get(stream) or StreamState(first_epoch(stream, self.control))
                          for stream in self.control})
 
@@ -267,6 +270,11 @@
             return None
         return known[0]
 
+    def filling(self) -> bool:
+        """Tell whether rows may be missing that others have: a name that is not found may yet come."""
+        return any(state.cursor >= 0 or state.goal > state.number or (
+            state.lost and not state.number and not self._level) for state in self.states.values())
+
     # Pulling
 
     def due_s(self) -> float:
@@ -391,6 +399,9 @@
     def _take_piece(self, piece: Piece, taken: Taken) -> None:
         with self._writing:
             state = self.states[piece.stream]
+            if holder_of(piece.epoch, self.control) == self.own_name and (
+                    (state.epoch, state.number) < (piece.epoch, piece.upto)):
+                state = replace(state, put_back=True)  # others know changes of this node's that it does not
             if piece.epoch > state.epoch:
                 state = self._go_over(piece, state, taken)
             if piece.since != state.since:
@@ -404,6 +415,9 @@
                 taken.refused.append("stale")  # one of the two has rows whose removal the other has forgotten
                 return
             state, drop = advanced(state, piece)
+            if state.lost and state.number >= state.goal and (
+                    holder_of(state.epoch, self.control) != self.own_name):
+                state = replace(state, lost=False)  # only a holder has to know which numbers it gave
             if state == self.states[piece.stream] and not piece.entries:
                 return
             filling = piece.more or state.cursor >= 0 or drop
@@ -502,6 +516,11 @@
                 raise Behind(f"stream {stream} is being refilled")
             if state.lost:
                 raise Behind(f"the copy of stream {stream} was damaged: a take-over has to be ordered")
+            if state.put_back:
+                raise Behind(f"the copy of stream {stream} is an older one: a new term has to begin")
+            refused = self.guard(stream)
+            if refused:
+                raise Behind(refused)
             number = state.number + 1
             entry = Entry(number, made.name, made.at_ms, made.who, made.state, made.tenant, made.key,
                           state.epoch)
@@ -514,17 +533,21 @@
     def begin_term(self, stream: str, own_name: str, force: bool = False) -> Position:
         """Take a stream over: begin an epoch of which a member of this name is the holder.
 
-        Raises `Behind` where this node lacks what others were seen to have, unless forced, and `Broken`.
+        Raises `Behind` where this node lacks what others were seen to have, unless forced, and `Broken`. Who
+        has changes past this node's number keeps them aside once it hears of the epoch.
         """
         with self._writing:
             state = self.states[stream]
             if not force and (state.cursor >= 0 or state.goal > state.number):
                 raise Behind(f"stream {stream} is being refilled here")
+            refused = "" if force else self.guard(stream)
+            if refused:
+                raise Behind(refused)
             if len(state.bases) >= MOST_BASES:
                 raise Behind(f"stream {stream} was taken over {MOST_BASES} times, which is all there are")
             epoch = next_epoch(state.epoch, own_name, self.control)
             state = replace(state, epoch=epoch, bases=(*state.bases, (epoch, state.number)), cursor=-1,
-                            covered=state.number, goal=state.number, lost=False)
+                            covered=state.number, goal=state.number, lost=False, put_back=False)
             self.rows.apply(stream, [], state, durable=True)
             self._became(stream, state)
             return Position(epoch, state.number)
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -81,7 +81,8 @@
         return [(one["name"], one["revision"]) for one in rows.orphans()]
 
     def _begun(self, name: str) -> Replica:
-        return Replica(name, self.control, self.rows[name], Random(self.random.random()), now=self.now)
+        return Replica(name, self.control, self.rows[name], Random(self.random.random()), now=self.now,
+                       own_name=name)
 
     def restart(self, name: str) -> None:
         """Lose what is not in the rows."""
--- /dev/null
+++ b/tests/test_replication_service.py
@@ -0,0 +1,450 @@
+"""Who may write and when, who has what, and nodes that replicate over sockets of loopback."""
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from random import Random
+
+import pytest
+from helpers import soon
+from replicas import CONTROL, Replicas, entry, names_of
+from test_local_copy import spoil
+
+from reelusher.config.operator import Fleet
+from reelusher.core.counters import Counters
+from reelusher.fleet.membership.messages import State, Update
+from reelusher.fleet.membership.service import Membership
+from reelusher.fleet.replication import census as counting
+from reelusher.fleet.replication import service as serving
+from reelusher.fleet.replication.census import Census
+from reelusher.fleet.replication.copy import LocalCopy
+from reelusher.fleet.replication.messages import MOST_TENANT, EntriesReply, EntriesRequest, Entry
+from reelusher.fleet.replication.rows import Broken, MemoryRows
+from reelusher.fleet.replication.service import Replication
+from reelusher.fleet.replication.streams import CLAIM_S, Behind, Position, Replica, first_epoch, holder_of
+from reelusher.fleet.replication.writer import ALONE_S, QUIET_S, SETTLE_S, Writer
+from reelusher.net import spawn
+
+C1, C2 = names_of("c1", 40), names_of("c2", 40)
+
+
+# When a holder may write
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def writer_of(fleet: Replicas, clock: Clock, name: str = "c1") -> Writer:
+    return Writer(fleet.all[name], Counters(), clock)
+
+
+@pytest.mark.parametrize(("others", "heard", "since_s", "may"), [
+    (0, 0, ALONE_S - 0.1, False), (0, 0, ALONE_S, True), (5, 0, ALONE_S, False), (5, 2, 1.0, False),
+    (5, 3, 0.1, True), (1, 1, 0.1, True), (2, 1, 0.1, False), (5, 0, SETTLE_S, True)])
+def test_nothing_is_accepted_before_others_were_heard(others: int, heard: int, since_s: float,
+                                                      may: bool) -> None:
+    fleet, clock = Replicas(0), Clock()
+    writer = writer_of(fleet, clock)
+    for number in range(heard):
+        writer.heard(f"n{number}")
+        writer.heard(f"n{number}")
+    clock.now += since_s
+    writer.tick(others, False)
+    if may:
+        assert writer.accept("c1", entry(C1[0])).number == 1
+    else:
+        with pytest.raises(Behind, match="not heard"):
+            writer.accept("c1", entry(C1[0]))
+        with pytest.raises(Behind, match="not heard"):
+            writer.take_over("c2")
+
+
+def test_without_a_fleet_it_writes_at_once_and_tells_of_each_change() -> None:
+    told: list[tuple[str, Position, float]] = []
+    writer = Writer(Replicas(0).all["c1"], Counters(), lambda: 7.0, lambda *one: told.append(one), alone=True)
+    made = writer.accept("c1", entry(C1[0]))
+    assert told == [("c1", (made.epoch, 1), 7.0)]
+    with pytest.raises(Behind, match="c2 writes"):
+        writer.accept("c2", entry(C2[0]))
+
+
+def test_of_two_live_members_of_one_name_neither_writes() -> None:
+    fleet, clock = Replicas(0), Clock()
+    writer = writer_of(fleet, clock)
+    writer.heard("n1")
+    writer.tick(1, True)
+    with pytest.raises(Behind, match="another live member"):
+        writer.accept("c1", entry(C1[0]))
+    writer.tick(1, False)
+    assert writer.accept("c1", entry(C1[0])).number == 1
+
+
+@pytest.mark.parametrize("kept", [0, 2])
+def test_a_holder_with_an_older_copy_pulls_its_own_changes_back_and_begins_a_term(tmp_path: Path,
+                                                                                  kept: int) -> None:
+    fleet, clock = Replicas(2, tmp_path), Clock()
+    for name in C1[:kept]:
+        fleet.change(name)
+    older = fleet.rows["c1"]
+    assert isinstance(older, LocalCopy)
+    older.close()
+    backup = {path: path.read_bytes() for path in tmp_path.glob("c1-*.db*")}
+    fleet.restart("c1")
+    for name in C1[kept:5]:
+        fleet.change(name)
+    fleet.settle()
+    fleet.close("c1")
+    for path in tmp_path.glob("c1-*.db*"):
+        path.unlink()
+    for path, data in backup.items():
+        path.write_bytes(data)
+    fleet.restart("c1")
+    assert fleet.all["c1"].states.get("c1") and fleet.all["c1"].states["c1"].number == kept
+    writer = writer_of(fleet, clock)
+    told = list(fleet.all["n1"].announce())
+    fleet.all["c1"].heard("n1", "", told, clock.now)
+    writer.heard("n1")
+    writer.tick(1, False)
+    with pytest.raises(Behind, match="others have stream c1 up to 8.5"):
+        writer.accept("c1", entry(C1[9]))
+    for _ in range(10):
+        if not fleet.pull("c1", "n1"):
+            break
+    fleet.restart("c1")  # what it knows of that outlives a restart
+    writer = writer_of(fleet, clock)
+    writer.heard("n1")
+    writer.tick(1, False)
+    with pytest.raises(Behind, match="older one"):
+        writer.accept("c1", entry(C1[9]))
+    clock.now += QUIET_S + 0.1
+    writer.tick(1, False)
+    made = writer.accept("c1", entry(C1[9]))
+    assert (made.epoch, made.number) == (16, 6)
+    fleet.settle()
+    assert fleet.live("n1") == fleet.live("c1") and len(fleet.live("n1")) == 6
+    fleet.close()
+
+
+def test_changes_that_only_one_that_was_away_had_end_as_its_orphans(tmp_path: Path) -> None:
+    fleet, clock = Replicas(2, tmp_path), Clock()
+    fleet.change(C1[0])
+    fleet.settle()
+    fleet.change(C1[1])
+    fleet.pull("n2", "c1")  # and then n2 is away, and c1's machine lost
+    fleet.add("c1")
+    writer = writer_of(fleet, clock)
+    writer.heard("n1")
+    writer.tick(1, False)
+    fleet.pull("c1", "n1")
+    for _ in range(2):
+        writer.tick(1, False)
+        clock.now += CLAIM_S
+    made = writer.accept("c1", entry(C1[2]))
+    assert (made.epoch, made.number) == (16, 2)
+    fleet.settle()
+    assert fleet.orphans("n2") == [(C1[1], 2)]
+    assert fleet.live("n2") == fleet.live("n1") == fleet.live("c1") == {
+        C1[0]: (1, "active"), C1[2]: (2, "active")}
+    fleet.close()
+
+
+def test_a_claim_that_nobody_makes_good_stops_counting() -> None:
+    fleet, clock = Replicas(1), Clock()
+    writer = writer_of(fleet, clock)
+    writer.heard("n1")
+    writer.tick(1, False)
+    false = list(fleet.all["n1"].announce())
+    false[2] = 99
+    fleet.all["c1"].heard("n1", "", false, clock.now)
+    with pytest.raises(Behind, match="others have"):
+        writer.accept("c1", entry(C1[0]))
+    clock.now += CLAIM_S + 0.1
+    assert writer.accept("c1", entry(C1[0])).number == 1
+
+
+def test_a_take_over_waits_for_what_others_have_unless_it_is_forced() -> None:
+    fleet, clock = Replicas(1), Clock()
+    fleet.change(C1[0])
+    fleet.settle()
+    fleet.change(C1[1])
+    fleet.pull("n1", "c1")
+    writer = writer_of(fleet, clock, "c2")
+    writer.heard("n1")
+    writer.tick(1, False)
+    fleet.all["c2"].heard("n1", "", list(fleet.all["n1"].announce()), clock.now)
+    with pytest.raises(Behind, match="others have stream c1"):
+        writer.take_over("c1")
+    fleet.pull("c2", "n1")
+    assert writer.take_over("c1") == (17, 2) and writer.holds("c1")
+    other = writer_of(fleet, clock, "c1")
+    assert other.take_over("c1", force=True) == (16, 2)
+
+
+@pytest.mark.parametrize("killed_after", ["check", "disk", "first pull", "answer"])
+def test_a_writer_killed_between_accept_and_answer_never_gives_a_number_twice(tmp_path: Path,
+                                                                              killed_after: str) -> None:
+    fleet = Replicas(2, tmp_path)
+    fleet.change(C1[0])
+    fleet.settle()
+    acknowledged = False
+    if killed_after != "check":
+        fleet.change(C1[1])
+    if killed_after in ("first pull", "answer"):
+        fleet.pull("n1", "c1")
+    if killed_after == "answer":
+        acknowledged = True
+    fleet.restart("c1")
+    again = fleet.change(C1[2])
+    assert again.number == (2 if killed_after == "check" else 3)
+    fleet.settle()
+    assert fleet.live("n2") == fleet.live("c1") == fleet.live("n1")
+    assert not acknowledged or C1[1] in fleet.live("n2")
+    fleet.close()
+
+
+# Who has what
+
+
+def live(*names: str) -> list[Update]:
+    return [Update(name, name, "", "", 1, State.ALIVE) for name in names]
+
+
+def test_the_census_counts_who_was_heard_to_have_a_change_and_names_the_slowest() -> None:
+    fleet = Replicas(3)
+    census = Census(fleet.all["c1"], "c1")
+    members = live("c1", "c2", "n1", "n2", "n3")
+    made = fleet.change(C1[0])
+    census.made("c1", Position(made.epoch, 1), 10.0)
+    for name in ("n1", "n2"):
+        fleet.pull(name, "c1")
+        census.heard(name, list(fleet.all[name].announce()), 11.0)
+    census.heard("n3", list(fleet.all["n3"].announce()), 12.0)
+    told, = census.told(members, 13.0)
+    assert (told["stream"], told["position"], told["members"], told["have"], told["everywhere"]) == (
+        "c1", "8.1", 4, 2, None)
+    assert told["slowest"] == [
+        {"name": "c2", "address": "c2", "position": None, "heard_s": None},
+        {"name": "n3", "address": "n3", "position": "8.0", "heard_s": 1.0}]
+    fleet.settle()
+    for name in ("c2", "n3"):
+        census.heard(name, list(fleet.all[name].announce()), 14.0)
+    assert census.wants(15.0)
+    census.tick(members, 15.0)
+    told, = census.told(members, 18.0)
+    assert told["have"] == 4 and told["slowest"] == []
+    assert told["everywhere"] == {"position": "8.1", "since_s": 3.0, "took_s": 5.0}
+    assert not census.wants(20.0)
+
+
+def test_members_not_known_to_have_a_change_are_called_paced_and_those_heard_longest_ago_first() -> None:
+    fleet = Replicas(0)
+    census = Census(fleet.all["c1"], "c1")
+    places = [f"n{number}" for number in range(300)]
+    members = live("c1", *places)
+    made = fleet.change(C1[0])
+    census.made("c1", Position(made.epoch, 1), 100.0)
+    old = list(fleet.all["c2"].announce())
+    for at, place in enumerate(places):
+        census.heard(place, old, 50.0 + at / 10)
+    assert census.tick(members, 100.0 + counting.GRACE_S - 0.1) == []
+    first = census.tick(members, 110.0)
+    assert first == places[:10]
+    assert census.tick(members, 110.15) == places[10:11]
+    total = sum(len(census.tick(members, 110.0 + step)) for step in range(1, 21))
+    assert 190 <= total <= 20 * counting.CALLS_PER_S + 1
+    census.told(members, 140.0)
+    quick = census.tick(members, 141.0)
+    never = places[11 + total:]
+    assert len(quick) == counting.QUICK_PER_S and quick[:len(never)] == never  # and then the first again
+    for place in places:
+        census.heard(place, list(fleet.all["c1"].announce()), 142.0)
+    assert census.tick(members, 143.0) == []
+
+
+def test_whoever_waits_for_copies_is_told_as_soon_as_so_many_have_them_and_calls_go_out_at_once() -> None:
+    fleet = Replicas(2)
+    census = Census(fleet.all["c1"], "c1")
+    made = fleet.change(C1[0])
+    position = Position(made.epoch, made.number)
+    assert census.wait("c1", position, 1, 0.01) == 0
+    got: list[int] = []
+    waiter = threading.Thread(target=lambda: got.append(census.wait("c1", position, 2, 10.0)))
+    waiter.start()
+    assert soon(lambda: census.wants(0.0))
+    assert set(census.tick(live("c1", "c2", "n1", "n2"), 1.0)) == {"c2", "n1", "n2"}
+    fleet.settle()
+    census.heard("n1", list(fleet.all["n1"].announce()), 1.0)
+    census.heard("x", [1, 2, 3], 1.0)
+    assert not got
+    census.heard("n2", list(fleet.all["n2"].announce()), 1.0)
+    waiter.join(5)
+    assert got == [2]
+
+
+def test_the_census_is_bounded_and_forgets_who_is_gone(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(counting, "MOST_MEMBERS", 5)
+    fleet = Replicas(0)
+    census = Census(fleet.all["c1"], "c1")
+    for number in range(9):
+        census.heard(f"n{number}", list(fleet.all["c2"].announce()), float(number))
+    assert len(census._vectors) == 5
+    assert len({id(one) for one in census._vectors.values()}) == 1
+    census.tick(live("c1", "n8"), 10.0)
+    assert set(census._vectors) == {"n8"}
+
+
+# On loopback
+
+
+class Node:
+    """Membership, copy and replication of one node."""
+
+    def __init__(self, folder: Path, name: str, seeds: list[tuple[str, int]]) -> None:
+        (folder / "secret").write_text("a secret of sixteen or more")
+        self.counters = Counters()
+        self.membership = Membership(Fleet(
+            "f", ("127.0.0.1", 0), ("127.0.0.1", 0), tuple(seeds), "z", "r", str(folder / "secret")), name,
+            Random(name), self.counters)
+        place = self.membership.live()[0].place
+        self.copy = LocalCopy(folder / f"{name}.db", "f", CONTROL)
+        self.replica = Replica(place, CONTROL, self.copy, Random(name), "z", time.monotonic(), name)
+        self.replication = Replication(self.copy, self.replica, self.membership, Random(name), self.counters)
+        self.membership.start()
+        self.replication.start(spawn)
+
+    def close(self) -> None:
+        self.membership.close()
+        self.replication.close()
+
+
+Start = Callable[..., Node]
+
+
+@pytest.fixture
+def start(tmp_path: Path) -> Iterator[Start]:
+    nodes: list[Node] = []
+
+    def started(name: str, *seeds: Node) -> Node:
+        node = Node(tmp_path, name, [seed.membership.address for seed in seeds])
+        nodes.append(node)
+        return node
+
+    yield started
+    for node in nodes:
+        node.close()
+
+
+def writes(node: Node, stream: str, made: Entry, within_s: float = 8.0) -> Entry:
+    """Have a node accept a change as soon as it may."""
+    until = time.monotonic() + within_s
+    while True:
+        try:
+            return node.replication.writer.accept(stream, made)
+        except Behind:
+            if time.monotonic() > until:
+                raise
+            time.sleep(0.05)
+
+
+def test_changes_get_about_over_sockets_and_the_holder_knows_who_has_them(start: Start) -> None:
+    c1 = start("c1")
+    others = [start("c2", c1), start("n1", c1), start("n2", c1)]
+    made = writes(c1, "c1", entry(C1[0]))
+    position = Position(made.epoch, made.number)
+    assert c1.replication.wait("c1", position, 3, 5.0) == 3
+    assert all(node.copy.match(f"{C1[0]}.example", "/x") is not None for node in others)
+    begun_s = time.monotonic()
+    for number in range(30):
+        writes(others[0], "c2", entry(C2[number]))
+    assert soon(lambda: all(node.copy.count() == 31 for node in [c1, *others]))
+    assert time.monotonic() - begun_s < 5
+    assert soon(lambda: bool(c1.replication.changes()[0]["everywhere"]))
+    told, = c1.replication.changes()
+    assert (told["members"], told["have"], told["slowest"]) == (3, 3, [])
+    pulls = others[1].counters.snapshot()["replication.pulls"]
+    assert pulls < 25  # several changes come with one
+
+
+def test_a_large_entry_and_a_fill_from_nothing_get_through(start: Start) -> None:
+    c1 = start("c1")
+    n1 = start("n1", c1)
+    large = Entry(0, C1[0], 0, "op", "active", b'{"pad": "' + b"x" * (MOST_TENANT - 20) + b'"}')
+    writes(c1, "c1", large)
+    for name in C1[1:]:
+        writes(c1, "c1", entry(name, pad="y" * 4000))
+    assert soon(lambda: n1.copy.count() == 40)
+    n2 = start("n2", n1)
+    assert soon(lambda: n2.copy.count() == 40, 15)
+    row = n2.copy.get(C1[0])
+    assert row is not None and row.tenant == large.tenant
+
+
+def test_a_damaged_copy_of_a_node_is_renewed_and_filled_while_it_runs(
+        start: Start, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(serving, "RENEW_S", (0.1, 0.2))
+    c1 = start("c1")
+    n1 = start("n1", c1)
+    for name in C1:
+        writes(c1, "c1", entry(name, pad="z" * 500))
+    assert soon(lambda: n1.copy.count() == 40)
+    conn = n1.copy._conn
+    assert conn is not None
+    conn.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    spoil(n1.copy.path)
+    assert not n1.copy.check() and n1.copy.damaged
+    assert soon(lambda: not n1.copy.damaged and n1.copy.count() == 40, 15)
+    assert not n1.replica.states["c1"].lost and soon(lambda: not n1.replica.filling())
+    assert n1.counters.snapshot()["replication.copies_damaged"] == 1
+    writes(c1, "c1", entry(C1[0], pad="after"))
+    assert soon(lambda: n1.replica.announce() == c1.replica.announce())
+
+
+def test_a_holder_whose_copy_is_damaged_writes_only_after_an_order(
+        start: Start, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(serving, "RENEW_S", (0.1, 0.2))
+    c1 = start("c1")
+    n1 = start("n1", c1)
+    for name in C1[:20]:
+        writes(c1, "c1", entry(name))
+    assert soon(lambda: n1.copy.count() == 20)
+    c1.copy.damaged = "by the test"
+    assert soon(lambda: not c1.copy.damaged and c1.copy.count() == 20, 15)
+    with pytest.raises(Behind, match="damaged"):
+        writes(c1, "c1", entry(C1[30]), QUIET_S + 2)
+    begun = c1.replication.writer.take_over("c1")
+    assert begun.epoch > first_epoch("c1", CONTROL) and holder_of(begun.epoch, CONTROL) == "c1"
+    made = writes(c1, "c1", entry(C1[30]))
+    assert (made.epoch, made.number) == (begun.epoch, 21)
+    assert soon(lambda: n1.copy.get(C1[30]) is not None)
+    assert n1.counters.snapshot().get("replication.orphans", 0) == 0
+
+
+def test_a_node_with_nobody_there_serves_and_a_holder_writes_alone(start: Start) -> None:
+    c1 = start("c1")
+    assert writes(c1, "c1", entry(C1[0]), ALONE_S + 3).number == 1
+    assert c1.copy.match(f"{C1[0]}.example", "/") is not None
+
+
+def test_a_copy_that_can_not_be_read_gives_nothing_and_is_told_of() -> None:
+    class Broke(MemoryRows):
+        def given(self, stream: str, since: int, most_bytes: int = 0) -> None:
+            raise Broken("disk I/O error")
+
+    class Deaf:
+        def __init__(self) -> None:
+            self.serve: dict[type, Callable[..., object]] = {}
+
+    counters, deaf = Counters(), Deaf()
+    replica = Replica("c1", CONTROL, Broke(), Random(1), own_name="c1")
+    replica.accept("c1", "c1", entry(C1[0]))
+    Replication(None, replica, deaf, Random(1), counters)  # type: ignore[arg-type]
+    told = replica.announce()
+    asked = EntriesRequest("n1", told[0], [told[0], 8, 0, 9, 0])
+    assert deaf.serve[EntriesRequest](asked) == EntriesReply([])
+    assert counters.snapshot()["replication.copy_failed"] == 1
