Serve tenants from a table on the disk, with those in use in memory

A node held every tenant of its table in memory, read at the start.

A match pins its tenant until its request is posted, and a tenant goes behind all that is in the owner's queue. Virtual time goes on while nobody waits where tenants are let go: by start tags alone all would be ahead of it for good, and none could go.

Not wired into a node yet.

--- a/reelusher/fronts/ajp.py
+++ b/reelusher/fronts/ajp.py
@@ -10,6 +10,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from loguru import logger
@@ -23,6 +24,7 @@
 from reelusher.drain.plan import Facts, Stages
 from reelusher.fronts.platform import subject_of
 from reelusher.net import Address, Listener, spawn
+from reelusher.tenancy.paging import Unserved
 from reelusher.tenancy.registry import Match, Tenants
 from reelusher.wire import ajp13
 
@@ -266,10 +268,28 @@
             return Answer(Verdict.REFUSED)  # its body stays unread, and the connection ends
         door_us = self._core.clock.now()
         body = self._body(stream, forward)
-        match = self._match(forward)
-        if not match.admitted:
-            self._core.counters.add_for(match.tenant.name, "turned_away")
-            return Answer(Verdict.REFUSED)
+        try:
+            with self._matched(forward) as match:
+                if not match.admitted:
+                    self._core.counters.add_for(match.tenant.name, "turned_away")
+                    return Answer(Verdict.REFUSED)
+                answers = self._hand_over(stream, forward, match, body, door_us)
+        except Unserved:
+            return Answer(Verdict.REFUSED)  # counted where it was found
+        tenant = match.tenant
+        if answers is None:
+            answer = Answer(Verdict.REFUSED)
+        else:
+            try:
+                answer = answers.get(timeout=LONGEST_WAIT_S)
+            finally:
+                self._left(tenant)
+        self._core.counters.add_for(tenant.name, answer.verdict.value)
+        return answer
+
+    def _hand_over(self, stream: Stream, forward: ajp13.Forward, match: Match, body: bytes, door_us: int
+                   ) -> "queue.SimpleQueue[Answer] | None":
+        """Hand a request to the core and return where its answer comes; None: its tenant has too many."""
         kind = self._kinds[match.class_name]
         key = forward.header(match.tenant.key_header) or ""
         if self._core.settings.classes[kind].effect is io.Effect.KEYED and not 0 < len(key) <= 128:
@@ -283,19 +303,14 @@
         if beyond:
             raise Rejected(503, f"{tenant.name} has {most} connections", closes=True)
         if not self._enter(tenant):
-            answer = Answer(Verdict.REFUSED)
-        else:
-            answers: queue.SimpleQueue[Answer] = queue.SimpleQueue()
-            try:
-                self._core.post(Arrived(self._request(forward, match, kind, body, door_us, key, answers.put)))
-                answer = answers.get(timeout=LONGEST_WAIT_S)
-            finally:
-                with self._lock:
-                    self._in_hand[tenant.name] -= 1
-                    if not self._in_hand[tenant.name]:
-                        del self._in_hand[tenant.name]
-        self._core.counters.add_for(tenant.name, answer.verdict.value)
-        return answer
+            return None
+        answers: queue.SimpleQueue[Answer] = queue.SimpleQueue()
+        try:
+            self._core.post(Arrived(self._request(forward, match, kind, body, door_us, key, answers.put)))
+        except BaseException:
+            self._left(tenant)
+            raise
+        return answers
 
     def _enter(self, tenant: Tenant) -> bool:
         """Count a request as its tenant's; False where its bound is reached, so that none takes all."""
@@ -305,6 +320,13 @@
             self._in_hand[tenant.name] += 1
             return True
 
+    def _left(self, tenant: Tenant) -> None:
+        """Count a request as its tenant's no longer."""
+        with self._lock:
+            self._in_hand[tenant.name] -= 1
+            if not self._in_hand[tenant.name]:
+                del self._in_hand[tenant.name]
+
     def _request(self, forward: ajp13.Forward, match: Match, kind: int, body: bytes, door_us: int, key: str,
                  reply: Callable[[Answer], None]) -> Request:
         return Request(
@@ -313,12 +335,14 @@
             caller=hash_of(forward.remote_addr), subject=subject_of(forward.uri),
             held_kb=match.tenant.held_kb + len(body) / 1024, key=key, head=forward)
 
-    def _match(self, forward: ajp13.Forward) -> Match:
+    @contextmanager
+    def _matched(self, forward: ajp13.Forward) -> Iterator[Match]:
+        """Tell whose a request is, which is to be handed over within."""
         path = forward.uri.partition(";")[0]
-        match = self._tenants.match(forward.method, forward.server_name, path)
-        if match is None or not match.class_name:
-            raise Rejected(404, f"no tenant's route has {forward.method} {path}")
-        return match
+        with self._tenants.matched(forward.method, forward.server_name, path) as match:
+            if match is None or not match.class_name:
+                raise Rejected(404, f"no tenant's route has {forward.method} {path}")
+            yield match
 
     def _body(self, stream: Stream, forward: ajp13.Forward) -> bytes:
         """Read the body: the first piece comes by itself where a length is told, the rest is asked for."""
--- a/reelusher/tenancy/index.py
+++ b/reelusher/tenancy/index.py
@@ -10,10 +10,12 @@
 
 from bisect import bisect_left, bisect_right, insort
 from collections.abc import Iterator
+from typing import Generic, TypeVar
 
 from reelusher.config.operator import FULL_GUARANTEE, Route, Tenant, guarantee_units
 from reelusher.tenancy.lifecycle import Entry
 
+T = TypeVar("T")
 PART = 64  # prefixes in one part of a host's table, about: a change copies one part and the list of parts
 GROWTH = 4  # times as many parts where they have become too full
 FEW_ROUTES = 8  # up to so many it is quicker to go through them
@@ -79,18 +81,18 @@
         return self.entry.tenant.default_class if found is None else found
 
 
-class VirtualHost:
+class VirtualHost(Generic[T]):
     """The tenants of one host, by prefix; never changed. A look-up asks once for each length of a prefix."""
 
     __slots__ = ("_lengths", "_parts", "_size")
 
-    def __init__(self, lengths: dict[int, int], parts: tuple[dict[str, Leaf], ...], size: int) -> None:
+    def __init__(self, lengths: dict[int, int], parts: tuple[dict[str, T], ...], size: int) -> None:
         self._lengths = lengths  # the longest first, and how many prefixes have each
         self._parts = parts  # by the hash of a prefix
         self._size = size
 
-    def find(self, path: str) -> Leaf | None:
-        """Return the leaf of the longest prefix that a path is or lies under."""
+    def find(self, path: str) -> T | None:
+        """Return the value of the longest prefix that a path is or lies under."""
         for length in self._lengths:
             if length <= len(path) and _ends_there(path, length):
                 found = self.at(path[:length])
@@ -98,27 +100,27 @@
                     return found
         return None
 
-    def at(self, prefix: str) -> Leaf | None:
-        """Return the leaf of one prefix."""
+    def at(self, prefix: str) -> T | None:
+        """Return the value of one prefix."""
         return self._parts[hash(prefix) & len(self._parts) - 1].get(prefix)
 
-    def put(self, prefix: str, leaf: Leaf) -> "VirtualHost":
-        """Return the same with one prefix added or its leaf replaced."""
+    def put(self, prefix: str, value: T) -> "VirtualHost[T]":
+        """Return the same with one prefix added or its value replaced."""
         place = hash(prefix) & len(self._parts) - 1
         new = prefix not in self._parts[place]
         made = VirtualHost(self._with_length(len(prefix), 1) if new else self._lengths,
-                           self._with_part(place, {**self._parts[place], prefix: leaf}), self._size + new)
+                           self._with_part(place, {**self._parts[place], prefix: value}), self._size + new)
         return made._grown() if made._size > PART * len(made._parts) else made
 
-    def without(self, prefix: str) -> "VirtualHost | None":
+    def without(self, prefix: str) -> "VirtualHost[T] | None":
         """Return the same without one prefix; None where it was the last."""
         if self._size == 1:
             return None
         place = hash(prefix) & len(self._parts) - 1
-        part = {known: leaf for known, leaf in self._parts[place].items() if known != prefix}
+        part = {known: value for known, value in self._parts[place].items() if known != prefix}
         return VirtualHost(self._with_length(len(prefix), -1), self._with_part(place, part), self._size - 1)
 
-    def _with_part(self, place: int, part: dict[str, Leaf]) -> tuple[dict[str, Leaf], ...]:
+    def _with_part(self, place: int, part: dict[str, T]) -> tuple[dict[str, T], ...]:
         return (*self._parts[:place], part, *self._parts[place + 1:])
 
     def _with_length(self, length: int, change: int) -> dict[int, int]:
@@ -129,15 +131,15 @@
         return {known: self._lengths.get(known, 1)
                 for known in sorted([*others, length] if change > 0 else others, reverse=True)}
 
-    def _grown(self) -> "VirtualHost":
-        parts: tuple[dict[str, Leaf], ...] = tuple({} for _ in range(GROWTH * len(self._parts)))
+    def _grown(self) -> "VirtualHost[T]":
+        parts: tuple[dict[str, T], ...] = tuple({} for _ in range(GROWTH * len(self._parts)))
         for part in self._parts:
-            for prefix, leaf in part.items():
-                parts[hash(prefix) & len(parts) - 1][prefix] = leaf
+            for prefix, value in part.items():
+                parts[hash(prefix) & len(parts) - 1][prefix] = value
         return VirtualHost(self._lengths, parts, self._size)
 
 
-EMPTY_HOST = VirtualHost({}, ({},), 0)
+EMPTY_HOST: VirtualHost[Leaf] = VirtualHost({}, ({},), 0)
 
 
 class Index:
@@ -146,7 +148,7 @@
     def __init__(self) -> None:
         self._leaves: dict[str, Leaf] = {}
         self._names: list[str] = []  # sorted
-        self._hosts: dict[str, VirtualHost] = {}
+        self._hosts: dict[str, VirtualHost[Leaf]] = {}
         self._rivals: dict[tuple[str, str], list[str]] = {}  # by host and prefix, where several have both
         self._guaranteed = 0  # all guarantees together, in units that add up exactly
 
--- a/reelusher/tenancy/lifecycle.py
+++ b/reelusher/tenancy/lifecycle.py
@@ -56,7 +56,7 @@
     def __init__(self) -> None:
         self._by_name: dict[str, Entry] = {}
         self._by_number: dict[int, Entry] = {}
-        self._draining: dict[str, None] = {}  # the first that was removed first
+        self._draining: dict[int, None] = {}  # by number, the first that was removed first
         self._last = 0
 
     def __iter__(self) -> Iterator[Entry]:
@@ -71,11 +71,14 @@
         entry = self._by_number.get(number)
         return entry is not None and entry.state is State.ACTIVE
 
-    def put(self, tenant: Tenant, state: State = State.ACTIVE) -> tuple[Entry, bool]:
-        """Add a tenant, or replace what is said of it; also tell whether it is new."""
+    def put(self, tenant: Tenant, state: State = State.ACTIVE, number: int = 0) -> tuple[Entry, bool]:
+        """Add a tenant, or replace what is said of it; also tell whether it is new.
+
+        A number is given where numbers come from elsewhere: it names this tenant, and no other ever.
+        """
         known = self._by_name.get(tenant.name)
         if known is None:
-            self._last += 1
+            self._last = number or self._last + 1
             return self._store(Entry(tenant, self._last, state)), True
         if known.state is State.DRAINING:
             raise WrongState(f"{tenant.name!r} is being removed")
@@ -100,15 +103,29 @@
             until_us = min(until_us, entry.until_us)
         return self._store(replace(entry, state=State.DRAINING, until_us=until_us))
 
-    def tick(self, now_us: int, in_hand: Callable[[int], int], names: Iterable[str] | None = None
+    def free_name(self, name: str) -> None:
+        """Let a tenant that is being removed go on without its name: another may have it at once."""
+        entry = self._by_name.get(name)
+        if entry is not None and entry.state is State.DRAINING:
+            del self._by_name[name]
+
+    def let_go(self, name: str) -> None:
+        """Forget a tenant that has nothing in hand, until it is put again with its number."""
+        entry = self._by_name.pop(name, None)
+        if entry is not None:
+            del self._by_number[entry.number]
+
+    def tick(self, now_us: int, in_hand: Callable[[int], int], numbers: Iterable[int] | None = None
              ) -> list[Gone]:
-        """Let those go that have nothing in hand any more, or no time: of these names, or of all."""
+        """Let those go that have nothing in hand any more, or no time: of these, or of all."""
         gone = []
-        for name in list(self._draining if names is None else names):
-            entry = self._by_name[name]
-            left = in_hand(entry.number)
+        for number in list(self._draining if numbers is None else numbers):
+            entry = self._by_number[number]
+            left = in_hand(number)
             if not left or now_us >= entry.until_us:
-                del self._by_name[name], self._by_number[entry.number], self._draining[name]
+                del self._by_number[number], self._draining[number]
+                if self._by_name.get(entry.tenant.name) is entry:
+                    del self._by_name[entry.tenant.name]
                 gone.append(Gone(entry, left))
         return gone
 
@@ -119,5 +136,5 @@
     def _store(self, entry: Entry) -> Entry:
         self._by_name[entry.tenant.name] = self._by_number[entry.number] = entry
         if entry.state is State.DRAINING:
-            self._draining[entry.tenant.name] = None
+            self._draining[entry.number] = None
         return entry
--- a/reelusher/tenancy/registry.py
+++ b/reelusher/tenancy/registry.py
@@ -1,17 +1,26 @@
 """The tenants of a node. The owner changes them; fronts look them up in an index, without a lock."""
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+import json
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import Future
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from reelusher.config.operator import Tenant, read_tenant
 from reelusher.config.table import ConfigError, Table
-from reelusher.core.model import Runner
+from reelusher.core.model import Ask, Runner
 from reelusher.core.owner import Core
-from reelusher.tenancy.index import Index
+from reelusher.tenancy.index import Index, Leaf, Routes
 from reelusher.tenancy.lifecycle import DRAIN_US, Entry, Lifecycle, State
+from reelusher.tenancy.paging import IDLE_US, Load, Pager, Resident, Row, Source, Unserved
+from reelusher.tenancy.readers import WAIT_S, Readers
 from reelusher.tenancy.shares import Share, Shares
 
+ASK_S = 1.0  # within which the owner has taken in a tenant that was read, or its request is refused
+IDLE_LOOK_US = 1_000_000  # between looks which tenants may be let go
+CROWDED, CROWDED_IDLE_US = 7 / 8, 1_000_000  # of the room; past it tenants are let go that soon
 LOOK_US = 50_000  # between looks whether a tenant that is removed has nothing in hand any more
 
 
@@ -23,6 +32,7 @@
     number: int
     class_name: str
     admitted: bool = True
+    pin: Resident | None = field(default=None, compare=False, repr=False)
 
 
 class Tenants:
@@ -30,7 +40,12 @@
 
     def __init__(self, entries: Iterable[tuple[Tenant, State]], class_names: tuple[str, ...],
                  runner_of: Callable[[str], Runner | None], core: Core, shares: Shares,
-                 backends: frozenset[str]) -> None:
+                 backends: frozenset[str], source: Source | None = None) -> None:
+        """Begin with these tenants, or with none and a table of them on the disk.
+
+        Where there is such a table, tenants change by `changed` only, and of them those are in memory that
+        are in use.
+        """
         self._class_names = class_names
         self._runner_of = runner_of
         self._core = core
@@ -39,20 +54,36 @@
         self._life = Lifecycle()
         self._index = Index()
         self._looking = False
+        self._source = source
+        self._pager: Pager | None = None
+        self._idle_looks = False
+        if source is not None:
+            self._readers = Readers(core.counters)
+            self._pager = Pager(source, self._readers.read, core.clock.now, WAIT_S)
+            shares.forgetful = True
         core.admits = self._life.admits
         for tenant, state in entries:
             self.put(tenant, state)
 
     def all(self) -> tuple[Tenant, ...]:
-        """Return the tenants as they are now."""
+        """Return the tenants as they are now, as far as they are in memory."""
         return tuple(entry.tenant for entry in self.entries())
 
     def entries(self) -> tuple[Entry, ...]:
-        """Return the tenants and where they stand, in no order."""
+        """Return the tenants and where they stand, as far as they are in memory, in no order."""
+        if self._pager is not None:
+            return tuple(leaf.entry for leaf in self._pager.leaves())
         return tuple(self._index.entries())
 
     def page(self, after: str, limit: int) -> tuple[list[Entry], str]:
-        """Return so many tenants whose names come after one, and the last name where more follow."""
+        """Return so many tenants whose names come after one, and the last name where more follow.
+
+        Rows that this node can't serve are left out.
+        """
+        if self._source is not None:
+            rows = self._source.page(after, limit + 1)
+            found = [entry for row in rows[:limit] if (entry := self._entry_of(row)) is not None]
+            return found, rows[limit - 1].name if len(rows) > limit else ""
         return self._index.page(after, limit)
 
     def get(self, name: str) -> Tenant | None:
@@ -61,7 +92,13 @@
         return entry.tenant if entry else None
 
     def entry(self, name: str) -> Entry | None:
-        """Return one tenant and where it stands."""
+        """Return one tenant and where it stands; from the disk, where it is not in memory."""
+        if self._pager is not None and self._source is not None:
+            resident = self._pager.get(name)
+            if resident is not None:
+                return resident.leaf.entry
+            row = self._source.get(name)
+            return None if row is None else self._entry_of(row)
         return self._index.get(name)
 
     @staticmethod
@@ -70,10 +107,17 @@
         return entry.tenant.to_json() | {"state": entry.state.value}
 
     def usage(self, name: str) -> dict[str, Any] | None:
-        """Return how a tenant stands and what it has used; called by the owner."""
-        entry = self.entry(name)
+        """Return how a tenant stands and what it has used; called by the owner.
+
+        None: it is not in memory, so it uses nothing.
+        """
+        entry = self._life.get(name)
         if entry is None:
             return None
+        return self._usage(entry)
+
+    def _usage(self, entry: Entry) -> dict[str, Any]:
+        name = entry.tenant.name
         told = self._shares.usage(entry.number, self._core.clock.now())
         return {"name": name, "state": entry.state.value,
                 "in_hand": self._core.attempts.of_tenant(entry.number),
@@ -91,22 +135,71 @@
 
     def check(self, tenant: Tenant) -> None:
         """Refuse a tenant that does not fit in with the others."""
-        if not self._index.fits(tenant):
+        if not self._fits(tenant):
             raise ConfigError("share.guarantee", "the guarantees of all shares add up to more than 1")
 
+    def _fits(self, tenant: Tenant) -> bool:
+        if self._source is None:
+            return self._index.fits(tenant)
+        before = self.entry(tenant.name)
+        others = self._source.guaranteed() - (before.tenant.share.guarantee if before else 0.0)
+        return others + tenant.share.guarantee <= 1 + 1e-9
+
+    def reason(self, name: str, value: bytes) -> str:
+        """Return why this node can't serve a tenant of a table, or nothing."""
+        try:
+            self._read_row(name, value)
+        except (ConfigError, ValueError) as error:
+            return str(error)
+        return ""
+
+    def unreadable(self) -> dict[str, str]:
+        """Return why tenants that were wanted can't be served, by name; the newest so many."""
+        return {} if self._pager is None else self._pager.noted()
+
+    def close(self) -> None:
+        """End the threads that read a table."""
+        if self._source is not None:
+            self._readers.close()
+
+    def _read_row(self, name: str, value: bytes) -> Tenant:
+        table = Table(json.loads(value), f"tenants.{name}")
+        tenant = read_tenant(table, self._class_names, self._backends)
+        if tenant.name != name:
+            raise ConfigError(f"tenants.{name}.name", "is not the name of the row")
+        return tenant
+
+    def _entry_of(self, row: Row) -> Entry | None:
+        """Return what a row says; None where this node can't serve it."""
+        try:
+            made = Entry(self._read_row(row.name, row.tenant), row.number, State(row.state))
+        except (ConfigError, ValueError) as error:
+            if self._pager is not None:
+                self._pager.note(row.name, str(error))
+            self._core.counters.warn("tenants.unreadable", "tenants: {!r} can't be served: {}", row.name,
+                                     error)
+            return None
+        if self._pager is not None:
+            self._pager.forget_note(row.name)
+        return made
+
     # Called by the owner once it runs
 
     def put(self, tenant: Tenant, state: State = State.ACTIVE) -> bool:
         """Add a tenant or replace one; True where it is new. Raises `WrongState` while it is removed."""
         entry, new = self._life.put(tenant, state)
+        self._entitle(entry)
+        self._index.put(entry)
+        return new
+
+    def _entitle(self, entry: Entry) -> None:
+        tenant = entry.tenant
         self._shares.entitle(entry.number, self._share(tenant))
         runner = self._runner_of(tenant.backend)
         if runner is None:
             self._core.runners.pop(tenant.name, None)
         else:
             self._core.runners[tenant.name] = runner
-        self._index.put(entry)
-        return new
 
     def move(self, name: str, to: State) -> Entry | None:
         """Suspend or resume a tenant; None where there is none of this name."""
@@ -124,15 +217,16 @@
         entry = self._life.remove(name, self._core.clock.now(), within_us)
         if entry is not None:
             self._index.put(entry)
-            self._look([name])
+            self._look([entry.number])
         return entry
 
-    def _look(self, names: list[str] | None = None) -> None:
-        for gone in self._life.tick(self._core.clock.now(), self._core.attempts.of_tenant, names):
+    def _look(self, numbers: list[int] | None = None) -> None:
+        for gone in self._life.tick(self._core.clock.now(), self._core.attempts.of_tenant, numbers):
             if gone.in_hand:  # what is in hand of all is gone through
                 self._core.end_tenant(gone.entry.number)
             self._shares.drop(gone.entry.number)
-            self._core.runners.pop(gone.entry.tenant.name, None)
+            if self._life.get(gone.entry.tenant.name) is None:
+                self._core.runners.pop(gone.entry.tenant.name, None)
             self._core.counters.add("tenants.removed")
             self._core.counters.add("tenants.ended_in_hand", gone.in_hand)
             self._index.remove(gone.entry.tenant.name)
@@ -152,10 +246,151 @@
 
     # Called by fronts
 
+    @contextmanager
+    def matched(self, method: str, host: str, path: str) -> Iterator[Match | None]:
+        """Tell whose a request is; it is to be posted within, while its tenant is held in memory.
+
+        Raises `Unserved` where that can't be told now.
+        """
+        match = self.match(method, host, path)
+        try:
+            yield match
+        finally:
+            if match is not None and match.pin is not None and self._pager is not None:
+                self._pager.release(match.pin)
+
     def match(self, method: str, host: str, path: str) -> Match | None:
         """Return whose a request is."""
-        leaf = self._index.find(host.lower(), path)
+        host, pin = host.lower(), None
+        if self._pager is None:
+            leaf = self._index.find(host, path)
+        else:
+            try:
+                pin = self._pager.find(host, path, self._load)
+            except Unserved as error:
+                self._core.counters.warn("tenants.unserved", "tenants: request refused: {}", error)
+                raise
+            leaf = pin.leaf if pin is not None else None
         if leaf is None:
             return None
         entry = leaf.entry
-        return Match(entry.tenant, entry.number, leaf.class_of(method, path), entry.state is State.ACTIVE)
+        return Match(entry.tenant, entry.number, leaf.class_of(method, path), entry.state is State.ACTIVE,
+                     pin)
+
+    # A table on the disk. By threads of fronts, and by those that change it
+
+    def _load(self, name: str, load: Load) -> bool:
+        """Read a tenant and have the owner put it in memory; False: there is none, or it changed."""
+        source = self._source
+        assert source is not None
+        row = self._readers.read(lambda: source.get(name))
+        if row is None:
+            return False
+        entry = self._entry_of(row)
+        if entry is None:
+            raise Unserved(f"{name!r} can't be served by this node")
+        leaf = Leaf(entry, Routes(entry.tenant.routes))
+        try:
+            put: bool | None = self._core.ask(lambda: self._take_in(leaf, load), ASK_S)
+        except TimeoutError:
+            raise Unserved(f"the owner has no time for {name!r}") from None
+        if put is None:
+            self._core.counters.add("tenants.refused_full")
+            raise Unserved("too many tenants are in use")
+        return put
+
+    def changed(self, names: list[str]) -> None:
+        """Take up changes of the table, from the thread that made them."""
+        if self._pager is not None:
+            self._pager.changed(names, self._hosts_of, self._change)
+
+    def _hosts_of(self, row: Row) -> list[str]:
+        try:
+            return [str(host).lower() for host in json.loads(row.tenant).get("hosts", [])]
+        except (ValueError, AttributeError, TypeError):
+            return []
+
+    def _change(self, name: str, row: Row | None) -> None:
+        entry = None if row is None else self._entry_of(row)
+        ask = Ask(partial(self._apply, name, entry, row is not None))
+        ask.done.add_done_callback(self._applied)
+        self._core.post(ask)
+
+    def _applied(self, done: Future[Any]) -> None:
+        if not done.cancelled() and (error := done.exception()) is not None:
+            self._core.counters.warn("tenants.change_failed", "tenants: a change not taken up: {}", error)
+
+    # By the owner
+
+    def _take_in(self, leaf: Leaf, load: Load) -> bool | None:
+        """Put a tenant in memory; False: it has changed since it was read. None: there is no room."""
+        assert self._pager is not None
+        if len(self._pager) >= CROWDED * self._pager.most:
+            self._let_go_later(CROWDED_IDLE_US)
+        if self._pager.full():
+            return None
+        if not self._pager.put(leaf, load):
+            return False
+        entry = leaf.entry
+        self._life.put(entry.tenant, entry.state, entry.number)
+        self._entitle(entry)
+        if not self._idle_looks:
+            self._idle_looks = True
+            self._core.after(IDLE_LOOK_US, self._look_idle)
+        return True
+
+    def _apply(self, name: str, entry: Entry | None, there: bool) -> None:
+        """Take up a change of a tenant in memory; without an entry it is gone, or can't be served."""
+        assert self._pager is not None
+        resident = self._pager.get(name)
+        known = self._life.get(name)
+        if resident is None or known is None:
+            return
+        if entry is None and there:
+            known = self._life.move(name, State.SUSPENDED)
+        elif entry is None or entry.number != known.number:
+            self._retire(name)
+            return
+        else:
+            self._life.put(entry.tenant)
+            known = self._life.move(name, entry.state)
+        assert known is not None
+        self._entitle(known)
+        self._pager.replace(Leaf(known, Routes(known.tenant.routes)))
+
+    def _retire(self, name: str) -> None:
+        """Let a tenant end that is gone from the table; its name is another's to have at once."""
+        assert self._pager is not None
+        entry = self._life.remove(name, self._core.clock.now())
+        self._life.free_name(name)
+        self._pager.remove(name)
+        self._core.runners.pop(name, None)
+        if entry is not None:
+            self._look([entry.number])
+
+    def _look_idle(self) -> None:
+        assert self._pager is not None
+        self._idle_looks = len(self._pager) > 0
+        if self._idle_looks:
+            self._let_go_later(IDLE_US)
+            self._core.after(IDLE_LOOK_US, self._look_idle)
+
+    def _let_go_later(self, unused_us: int) -> None:
+        """Let idle tenants go behind all that is in the owner's queue now: a request may be among that."""
+        assert self._pager is not None
+        found = self._pager.idle(unused_us)
+        if found:
+            self._core.post(Ask(partial(self._let_go, found)))
+
+    def _let_go(self, found: list[tuple[Resident, int]]) -> None:
+        assert self._pager is not None
+        for resident, uses in found:
+            entry = resident.leaf.entry
+            if self._pager.let_go(resident, uses, partial(self._free, entry.number)):
+                self._life.let_go(entry.tenant.name)
+                self._core.runners.pop(entry.tenant.name, None)
+                self._core.counters.add("tenants.let_go")
+
+    def _free(self, number: int) -> bool:
+        return not self._core.attempts.of_tenant(number) and self._shares.let_go(
+            number, self._core.clock.now())
--- a/reelusher/tenancy/shares.py
+++ b/reelusher/tenancy/shares.py
@@ -154,6 +154,10 @@
         self._long = 0
         self._any_over = False
         self._periods = 0  # since the last look at who is over
+        self.forgetful = False  # tenants are let go while they ask for nothing
+        self._held = 0  # requests, of all
+        self._quiet_us: int | None = None  # the last period, if nothing was held then
+        self._weights = 0.0  # of all that ask
 
     # Who there is
 
@@ -175,6 +179,24 @@
             flow.gone = True
             self._tidy(flow)
 
+    def let_go(self, tenant: int, now_us: int) -> bool:
+        """Forget a tenant that is wanted again later, if it then stands as it would have; tell whether.
+
+        So nobody gains by being away: nothing of it is counted, it asks for nothing, its start tag is not
+        ahead of the virtual time, and its clocks stand as fresh ones do.
+        """
+        flow = self._flows.get(tenant)
+        if flow is None:
+            return True
+        if flow.held or flow.running or flow.keys or flow.kb >= LEAST_KB or flow.decay(now_us) >= QUIET:
+            return False
+        clocks = [clock for clock in (flow.reserve, flow.limit) if clock is not None]
+        if flow.finish > self._virtual or any(clock.tat_us > now_us - clock.credit_us for clock in clocks):
+            return False
+        del self._flows[tenant]
+        self._asking.pop(tenant, None)
+        return True
+
     def _tidy(self, flow: _Flow) -> None:
         if flow.gone and not (flow.held or flow.running or flow.keys) and flow.kb < LEAST_KB:
             self._flows.pop(flow.number, None)
@@ -189,7 +211,7 @@
 
     def usage(self, tenant: int, now_us: int) -> dict[str, float]:
         """Return how a tenant stands: work in core-milliseconds, the rest as counts, parts and KB."""
-        flow = self._flow(tenant)
+        flow = self._flows.get(tenant) or _Flow(tenant, Share(), self._cores, self._virtual)
         return {"held": flow.held, "running": flow.running, "keys": flow.keys,
                 "memory_kb": round(flow.kb, 1), "work_ms": round(flow.used_us / 1000, 1),
                 "demand": round(flow.decay(now_us) / self._cores, 4), "over_by": round(flow.excess, 4)}
@@ -233,6 +255,7 @@
         """Count a request that begins (1) or ends (-1) to be held, and the memory that it takes or gives."""
         flow = self._flow(request.tenant)
         flow.held += held
+        self._held += held
         flow.kb += change_kb
         if flow.gone:
             self._tidy(flow)
@@ -338,6 +361,8 @@
 
     def period(self, now_us: int) -> None:
         """Bring the standing up to date: runs that last, keys that have run out, who is over its share."""
+        if self.forgetful:
+            self._rest(now_us)
         self._long = 0
         for number in {run.tenant for run in self._runs.values()} & self._flows.keys():
             self._flows[number].long, self._flows[number].floor_us = 0, math.inf
@@ -364,6 +389,15 @@
                 flow.excess = 0.0
         self._allocate()
 
+    def _rest(self, now_us: int) -> None:
+        """Have virtual time go on while nobody waits, at the pace of a fluid server of all that ask.
+
+        By start tags alone it would stand still where each tenant asks once, and all were ahead for good.
+        """
+        if self._quiet_us is not None and not self._held:
+            self._virtual += self._cores * (now_us - self._quiet_us) / max(1.0, self._weights)
+        self._quiet_us = None if self._held else now_us
+
     def expired(self, now_us: int) -> list[int]:
         """Return the requests whose keys have run out by now, for `forgets`."""
         found = []
@@ -376,6 +410,7 @@
         claims = [Claim(flow.demand, flow.share.weight, flow.share.guarantee * self._cores,
                         flow.share.ceiling * self._cores) for flow in asking]
         self._any_over = False
+        self._weights = sum(claim.weight for claim in claims)
         for flow, claim, given in zip(asking, claims, allocate(claims, self._cores), strict=True):
             over = claim.demand > OVER * given
             flow.excess = max(0.0, 1 - ADMIT * given / claim.demand) if over else 0.0
--- a/tests/test_tenant_index.py
+++ b/tests/test_tenant_index.py
@@ -179,7 +179,7 @@
     def find(self, host: str, path: str) -> index.Leaf | None:
         hosts = self._hosts
 
-        class Watched(dict[str, index.VirtualHost]):
+        class Watched(dict[str, index.VirtualHost[index.Leaf]]):
             def get(inner, key: str, default: object = None) -> object:  # type: ignore[override]
                 value = hosts.get(key)
                 if self.steps and key:
@@ -284,7 +284,7 @@
         life.put(tenant(f"t{number}"))
     life.remove("t0", 0)
     life.remove("t1", 0)
-    assert [gone.entry.number for gone in life.tick(0, lambda number: 0, ["t1"])] == [2]
+    assert [gone.entry.number for gone in life.tick(0, lambda number: 0, [2])] == [2]
     assert [gone.entry.tenant.name for gone in life.tick(0, lambda number: 0)] == ["t0"]
     assert not life.draining()
 
