--- a/reelusher/admin/tenant_api.py
+++ b/reelusher/admin/tenant_api.py
@@ -139,10 +139,10 @@
         return Reply(200, self._tenants.shown(entry), etag(kept))
 
     def _usage(self, asked: Asked) -> Reply:
-        found = self._core.ask(lambda: self._tenants.usage(asked.name))
-        if found is None:
+        entry = self._tenants.entry(asked.name)
+        if entry is None:
             raise self._nobody(asked.name)
-        return Reply(200, found)
+        return Reply(200, self._core.ask(lambda: self._tenants.usage(entry)))
 
     def _audit(self, asked: Asked) -> Reply:
         limit, after = asked.whole("limit", 100, MOST_PAGE, 1), asked.whole("after", 0, 1 << 53)
--- a/reelusher/fleet/replication/copy.py
+++ b/reelusher/fleet/replication/copy.py
@@ -631,6 +631,13 @@
                 (after, limit))]
             return [row for row in made if row is not None]
 
+    def prefixes(self, host: str, most: int) -> list[tuple[bool, str, str]] | None:
+        """Return who takes requests of a host: is it named, prefix and tenant. None: more than so many."""
+        with self._reading() as conn:
+            found = conn.execute("SELECT host, prefix, name FROM hosts WHERE host IN (?, ?) LIMIT ?",
+                                 ("=" + host.lower(), ANY, most + 1)).fetchall()
+        return None if len(found) > most else [(place != ANY, prefix, name) for place, prefix, name in found]
+
     def sharing(self, host: str, prefix: str) -> list[str]:
         """Return the names of tenants with a host ("": without any) and just this prefix; the first wins."""
         with self._reading() as conn:
--- a/reelusher/tenancy/paging.py
+++ b/reelusher/tenancy/paging.py
@@ -153,7 +153,8 @@
 
     def leaves(self) -> list[Leaf]:
         """Return the tenants that are in memory."""
-        return [resident.leaf for resident in tuple(self._residents.values())]
+        with self._lock:
+            return [resident.leaf for resident in self._residents.values()]
 
     # By threads of fronts
 
--- a/reelusher/tenancy/registry.py
+++ b/reelusher/tenancy/registry.py
@@ -106,17 +106,8 @@
         """Return a tenant as the administration API shows it."""
         return entry.tenant.to_json() | {"state": entry.state.value}
 
-    def usage(self, name: str) -> dict[str, Any] | None:
-        """Return how a tenant stands and what it has used; called by the owner.
-
-        None: it is not in memory, so it uses nothing.
-        """
-        entry = self._life.get(name)
-        if entry is None:
-            return None
-        return self._usage(entry)
-
-    def _usage(self, entry: Entry) -> dict[str, Any]:
+    def usage(self, entry: Entry) -> dict[str, Any]:
+        """Return how a tenant stands and what it has used while in memory; called by the owner."""
         name = entry.tenant.name
         told = self._shares.usage(entry.number, self._core.clock.now())
         return {"name": name, "state": entry.state.value,
