--- a/reelusher/admin/replicated_api.py
+++ b/reelusher/admin/replicated_api.py
@@ -33,6 +33,8 @@
 MOST_SENT = 8  # calls that are on their way to other members at once; each holds a connection
 RETRY_S = 2, 6  # after which a call may come again that can't be answered now: drawn, so that they spread
 MOST_LISTED = 100  # rows that are told of at once
+POSITIONS, COUNTED = "/positions", "/counted"  # what members ask each other: how far they are, and others
+ASK_S = 1.0  # that a member has to say it
 HEADERS = "if-match", "idempotency-key"  # that a call is carried with
 
 Key = tuple[str, str, bool]  # method, kind, is a name given
@@ -48,20 +50,13 @@
         """Ask a member. Raises `Unreached` where it was told nothing, and `Unanswered`."""
 
 
-class Copies(Protocol):
-    """Who has which changes."""
-
-    def wait(self, stream: str, position: Position, wanted: int, within_s: float) -> int:
-        """Wait until so many other members have a change; return how many have it then."""
-
-
 class ReplicatedTenantApi(TenantApi):
     """The calls that have to do with tenants, where they are kept in the replicated table."""
 
     def __init__(self, core: Core, tenants: Tenants, table: ReplicatedTable, fleet: Fleet | None,
-                 copies: Copies | None, random: Random) -> None:
+                 random: Random) -> None:
         super().__init__(core, tenants, table)
-        self._replicated, self._fleet, self._copies = table, fleet, copies
+        self._replicated, self._fleet = table, fleet
         self._counters, self._random = core.counters, random
         self._waits = threading.BoundedSemaphore(MOST_WAITS)
         self._sends = threading.BoundedSemaphore(MOST_SENT)
@@ -102,6 +97,7 @@
         places: dict[str, list[str]] = {}
         for member in self._live():
             places.setdefault(member.name, []).append(member.place)
+        counted = {one["stream"]: one for one in self._counted()}
         streams = []
         for stream in table.replica.control:
             state, further = table.replica.states[stream], table.lacks(stream)
@@ -109,7 +105,8 @@
             streams.append({
                 "stream": stream, "holder": holder, "holder_at": places.get(holder, []),
                 "position": told(table.position(stream)), "heard_of": told(further) if further else None,
-                "refilling": state.cursor >= 0, "lost": state.lost,
+                "refilling": state.cursor >= 0, "lost": state.lost, "put_back": state.put_back,
+                "counted": counted.get(stream),
                 "taken_over": [{"epoch": epoch, "after": base} for epoch, base in state.bases]})
         return Reply(200, {
             "own": table.own_name, "control": list(table.replica.control), "tenants": table.copy.count(),
@@ -164,9 +161,9 @@
             raise self._later("others wait for copies: nothing was changed")
         try:
             reply = self._makes[key](asked)
-            if copies and self._copies and not asked.dry and reply.status < 300:
+            if copies and not asked.dry and reply.status < 300:
                 position = self._replicated.position(stream)
-                have = self._copies.wait(stream, position, copies, COPIES_S)
+                have = self._replicated.replication.wait(stream, position, copies, COPIES_S)
                 if have < copies:
                     raise Refused(504, f"made, and {have} other members have it so far, not {copies}",
                                   "copies", reply.headers,
@@ -197,10 +194,13 @@
         if holder == own and not table.replica.states[stream].lost:
             raise Refused(409, f"{own!r} writes stream {stream!r} already")
         self._sole(own)
+        lives = holder != own and any(member.name == holder for member in self._live())
         position, further = table.position(stream), table.lacks(stream)
+        if lives and self._fleet is not None:  # what it has just made was not told to anybody yet
+            further = max(filter(None, (further, self._asked_holder(stream, holder))), default=None)
+            further = None if further is not None and further <= position else further
         found = {
-            "stream": stream, "holder": holder, "has": told(position),
-            "holder_lives": holder != own and any(member.name == holder for member in self._live()),
+            "stream": stream, "holder": holder, "has": told(position), "holder_lives": lives,
             "heard_of": told(further) if further else None, "lost": _changes_past(position, further)}
         if asked.dry:
             return Reply(200, {"dry_run": True, **found})
@@ -216,6 +216,30 @@
                        own, stream, told(begun), asked.who, found["heard_of"] or "no more")
         return Reply(200, {**found, "begins": told(begun)})
 
+    def _counted(self) -> list[dict[str, Any]]:
+        """Return who has the newest changes, as holders have counted it; who does not say is left out."""
+        table = self._replicated
+        found: list[dict[str, Any]] = table.replication.changes()
+        holders = {table.holder(stream) for stream in table.replica.control} - {table.own_name}
+        for holder in sorted(holders & {member.name for member in self._live()}):
+            found += self._asked(holder, COUNTED, [])
+        return found
+
+    def _asked_holder(self, stream: str, holder: str) -> Position | None:
+        """Return how far the holder of a stream says that it is; None where it does not say."""
+        found = self._asked(holder, POSITIONS, {}).get(stream)
+        return None if found is None else Position(*found)
+
+    def _asked(self, name: str, target: str, otherwise: Any) -> Any:
+        """Ask a member of this fleet's what only it knows."""
+        assert self._fleet is not None
+        request = ChangeRequest(self._live()[0].place, "GET", target, {})
+        try:
+            reply = self._fleet.ask_once(self._sole(name), request, ChangeReply, ASK_S)
+        except (Unreached, Unanswered):
+            return otherwise
+        return json.loads(reply.value) if reply.status == 200 else otherwise
+
     # Between nodes
 
     def _live(self) -> list[Update]:
@@ -287,6 +311,11 @@
     def _carried(self, request: ChangeRequest) -> Reply:
         path, _, query = request.target.partition("?")
         match path.strip("/").split("/"):
+            case ["positions"]:
+                return Reply(200, {stream: self._replicated.position(stream)
+                                   for stream in self._replicated.replica.control})
+            case ["counted"]:
+                return Reply(200, self._replicated.replication.changes())
             case ["v1", "tenants"]:
                 kind, name = "tenants", ""
             case ["v1", "tenants", name]:
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -37,7 +37,7 @@
     from reelusher.fleet.learning.learner import Learner
     from reelusher.fleet.membership.messages import FactsReply
     from reelusher.fleet.membership.service import Membership
-    from reelusher.fleet.replication.copy import LocalCopy
+    from reelusher.fleet.replication.service import Replication
     from reelusher.fronts.operator import OperatorFront
     from reelusher.tenancy.durable.keys import KeyLog
     from reelusher.tenancy.registry import Tenants
@@ -118,7 +118,7 @@
         self.fleet: Membership | None = None
         self._learner: Learner | None = None
         self._key_log: KeyLog | None = None
-        self._copy: LocalCopy | None = None
+        self._replication: Replication | None = None
         if own:
             self._set_up(own)
 
@@ -185,6 +185,7 @@
         from reelusher.fleet.replication.messages import ChangeRequest
         from reelusher.fleet.replication.streams import Replica
         from reelusher.fleet.replication.rows import Broken
+        from reelusher.fleet.replication.service import Replication
         from reelusher.tenancy.feed import Feed, RowReader
         from reelusher.tenancy.registry import Tenants
         from reelusher.tenancy.replicated import ReplicatedTable
@@ -193,16 +194,19 @@
         assert told is not None and self._shares is not None
         rows = RowReader(own.class_names, backends, self.counters)
         try:
-            copy = self._copy = LocalCopy(Path(told.copy), own.fleet.name if own.fleet else "", told.control,
-                                          rows.fault)
+            copy = LocalCopy(Path(told.copy), own.fleet.name if own.fleet else "", told.control,
+                             rows.fault)
         except Broken as error:
             raise ConfigError("replication.copy", str(error)) from None
         place = self.fleet.live()[0].place if self.fleet else ""
-        replica = Replica(place, told.control, copy, self._spread("replication"),
-                          own.fleet.zone if own.fleet else "")
+        replica = Replica(place, told.control, copy, self._spread("replica"),
+                          own.fleet.zone if own.fleet else "", time.monotonic(), self.config.name)
+        replication = self._replication = Replication(
+            copy, replica, self.fleet, self._spread("replication"), self.counters,
+            repr((own.class_names, sorted(backends))))
         feed = Feed(copy, rows)
         tenants = Tenants(feed.rows(), own.class_names, self._pool.runner, self.core, self._shares, backends)
-        table = ReplicatedTable(replica, copy, self.config.name, own.class_names, backends, self.counters)
+        table = ReplicatedTable(replication, own.class_names, backends, self.counters)
 
         def changed(names: list[str]) -> None:
             feed.changed(names)
@@ -210,7 +214,7 @@
 
         copy.on_change = changed
         feed.start(self.core, tenants)
-        calls = ReplicatedTenantApi(self.core, tenants, table, self.fleet, None, self._spread("calls"))
+        calls = ReplicatedTenantApi(self.core, tenants, table, self.fleet, self._spread("calls"))
         if self.fleet:
             self.fleet.serve[ChangeRequest] = calls.carried
         return tenants, table, calls
@@ -286,6 +290,8 @@
             logger.info("{}: the administration API listens on {}:{}", self.config.name, *self.admin.address)
         if self.catalog:
             self.catalog.start()
+        if self._replication:
+            self._replication.start(spawn)
         if self.fleet:
             self.fleet.start()
             assert self._learner is not None
@@ -477,9 +483,9 @@
 
     def _close_copy(self) -> None:
         """Let go of the copy of the replicated table, once: with nothing half written."""
-        copy, self._copy = self._copy, None
-        if copy:
-            copy.close()
+        replication, self._replication = self._replication, None
+        if replication:
+            replication.close()
 
 
 def set_up_log() -> None:
--- a/reelusher/tenancy/replicated.py
+++ b/reelusher/tenancy/replicated.py
@@ -16,11 +16,12 @@
 from reelusher.config.operator import Tenant, read_tenant
 from reelusher.config.table import ConfigError, Table
 from reelusher.core.counters import Counters
-from reelusher.fleet.replication.copy import LocalCopy, Row
+from reelusher.fleet.replication.copy import Row
 from reelusher.fleet.replication.copy import Trail as Change
 from reelusher.fleet.replication.messages import MOST_TENANT, Entry
 from reelusher.fleet.replication.rows import Broken as CopyBroken
-from reelusher.fleet.replication.streams import Behind, Position, Replica, holder_of, stream_of
+from reelusher.fleet.replication.service import Replication
+from reelusher.fleet.replication.streams import Behind, Position, holder_of, stream_of
 from reelusher.tenancy.durable.journal import Broken
 from reelusher.tenancy.durable.state import Trail
 
@@ -92,10 +93,12 @@
 class ReplicatedTable:
     """The table as one node has it; a `TenantTable` for the names whose streams this node holds."""
 
-    def __init__(self, replica: Replica, copy: LocalCopy, own_name: str, class_names: tuple[str, ...],
-                 backends: frozenset[str], counters: Counters,
+    def __init__(self, replication: Replication, class_names: tuple[str, ...], backends: frozenset[str],
+                 counters: Counters,
                  wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000) -> None:
-        self.replica, self.copy, self.own_name = replica, copy, own_name
+        self.replication, self.copy = replication, replication.copy
+        self.replica = replication.replica
+        self.own_name = self.replica.own_name
         self._class_names, self._backends = class_names, backends
         self._counters, self._wall_ms = counters, wall_ms
         self._lock = threading.RLock()
@@ -183,11 +186,7 @@
     def change(self, op: str, name: str, who: str, tenant: dict[str, Any] | None = None,
                state: str = "active", key: str = "") -> Standing | None:
         """Number one change and have it on the disk. Raises `Busy`, and `Broken` where the disk refuses."""
-        before, stream = self.kept(name), self.stream_of(name)
-        further = self.lacks(stream)
-        if further is not None:  # its file was put back, or it was never told: it would number changes anew
-            raise Busy(f"others have stream {stream!r} up to {told(further)}, this member up to "
-                       f"{told(self.position(stream))}")
+        before = self.kept(name)
         if op == "put":
             state = before.state if before else state
         elif op == "remove":
@@ -198,7 +197,7 @@
         made = None if tenant is None else self.overlapping(Standing(tenant, state, ""))
         wanted = Entry(0, name, self._wall_ms(), who[:MOST_WHO], state, data, key)
         try:
-            entry = self.replica.accept(stream, self.own_name, wanted)
+            entry = self.replication.writer.accept(self.stream_of(name), wanted)
         except Behind as error:
             raise Busy(str(error)) from None
         except CopyBroken as error:
@@ -238,7 +237,7 @@
         """Begin an epoch of a stream with this member as its holder. Raises `Busy` and `Broken`."""
         with self.changing():
             try:
-                return self.replica.begin_term(stream, self.own_name, force)
+                return self.replication.writer.take_over(stream, force)
             except Behind as error:
                 raise Busy(str(error)) from None
             except CopyBroken as error:
--- a/tests/test_replicated_api.py
+++ b/tests/test_replicated_api.py
@@ -24,6 +24,7 @@
 from reelusher.config.load import merge
 from reelusher.config.operator import parse
 from reelusher.config.table import address_of
+from reelusher.fleet.replication import service, writer
 from reelusher.fleet.replication.copy import LocalCopy
 from reelusher.fleet.replication.messages import ChangeReply, ChangeRequest, Entry
 from reelusher.fleet.replication.rows import Broken
@@ -79,6 +80,7 @@
             node.start()
         assert soon(lambda: all(len(node.fleet.live()) == len(self.all)
                                 for node in self.all.values() if node.fleet))
+        assert soon(lambda: not any(self.refusal(at) for at in self.all if at in CONTROL))
 
     def stop(self, name: str) -> None:
         self.all.pop(name).close()
@@ -97,6 +99,11 @@
     def replica(self, at: str) -> Replica:
         return self.table(at).replica
 
+    def refusal(self, at: str) -> str:
+        """Return why a control member does not write at present."""
+        return next((why for stream in CONTROL if self.table(at).holder(stream) == at
+                     and (why := self.table(at).replication.writer.refusal(stream))), "")
+
     def positions(self, at: str) -> list[int]:
         """Return how far a node is in each stream."""
         return self.replica(at).announce()
@@ -129,25 +136,33 @@
     return {"name": name, "backend": "w1", "hosts": [f"{name}.example"], "default_class": "day-view"} | more
 
 
+@contextlib.contextmanager
+def standing(folder: Path) -> Iterator[Nodes]:
+    """Have nodes that see early whether they may write, and take them down again."""
+    made = Nodes(folder)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(writer, "ALONE_S", 0.1)
+        patch.setattr(service, "LOOK_S", 0.05)
+        yield made
+        for name in list(made.all):
+            made.stop(name)
+
+
 @pytest.fixture
 def nodes(tmp_path: Path) -> Iterator[Nodes]:
-    made = Nodes(tmp_path)
-    yield made
-    for name in list(made.all):
-        made.stop(name)
+    with standing(tmp_path) as made:
+        yield made
 
 
 @pytest.fixture(scope="module")
 def pair(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Nodes]:
     """Two nodes with a tenant of either's that has a guarantee; nothing is to be changed there."""
-    made = Nodes(tmp_path_factory.mktemp("pair"))
-    made.start("c1", "c2")
-    for name, part in ((C1[0], 0.1), (C2[1], 0.2)):
-        assert made.call("c2", "POST", "/v1/tenants", tenant(name, share={"guarantee": part}))[0] == 201
-    assert made.follows("c2", "c1")
-    yield made
-    for name in list(made.all):
-        made.stop(name)
+    with standing(tmp_path_factory.mktemp("pair")) as made:
+        made.start("c1", "c2")
+        for name, part in ((C1[0], 0.1), (C2[1], 0.2)):
+            assert made.call("c2", "POST", "/v1/tenants", tenant(name, share={"guarantee": part}))[0] == 201
+        assert made.follows("c2", "c1")
+        yield made
 
 
 # Changes
@@ -350,6 +365,20 @@
     assert [(one["stream"], one["holder"], one["position"]) for one in told["streams"]] == [
         ("c1", "c1", "8.1"), ("c2", "c2", "9.2")]
 
+    def counted() -> list[Any]:
+        streams = nodes.call("n1", "GET", "/v1/fleet/changes")[1]["streams"]
+        return [(one["counted"]["have"], one["counted"]["members"], one["counted"]["everywhere"]["position"])
+                if one["counted"] and one["counted"]["everywhere"] else None for one in streams]
+
+    assert soon(lambda: counted() == [(2, 2, "8.1"), (2, 2, "9.2")])
+    nodes.deaf("n1")
+    assert nodes.call("c1", "POST", "/v1/tenants?copies=1", tenant(C1[1]))[0] == 201
+    assert counted()[0] == (1, 2, "8.1")
+    slowest = nodes.call("c2", "GET", "/v1/fleet/changes")[1]["streams"][0]["counted"]["slowest"]
+    assert [(one["name"], one["position"]) for one in slowest] == [("n1", "8.1")]
+    nodes.stop("c2")
+    assert counted()[1] is None  # nobody counts
+
 
 def test_a_row_that_a_node_can_not_serve_is_kept_told_and_served_by_others(nodes: Nodes) -> None:
     nodes.start("c1", "c2")
@@ -376,7 +405,8 @@
         nodes.deaf(at)
     assert nodes.call("c2", "POST", "/v1/tenants", tenant(C2[2]))[0] == 201  # that nobody else has
     path = "/v1/fleet/take-over/c2"
-    assert soon(lambda: nodes.call("c1", "POST", path + "?dry_run=true")[1]["heard_of"] == "9.3")
+    assert nodes.call("c1", "POST", path + "?dry_run=true")[1]["heard_of"] == "9.3"  # it asks the holder
+    assert soon(lambda: nodes.table("c1").lacks("c2"))  # and has heard by now
     nodes.stop("c2")
     assert nodes.call("c1", "POST", "/v1/tenants", tenant(C2[3]))[0] == 503
     for at, where, status, named in (
@@ -399,8 +429,16 @@
     told = nodes.call("c2", "GET", "/v1/fleet/changes")[1]
     assert [(one["tenant"], one["version"]) for one in told["orphans"]] == [(C2[2], "9.3")]
     assert nodes.call("c2", "PATCH", f"/v1/tenants/{C2[0]}", {"max_open": 7})[2]["etag"] == '"16.4"'
-    status, value, _ = nodes.call("c2", "POST", path)  # back to where it was
-    assert (status, value["holder"], value["holder_lives"], value["begins"]) == (200, "c1", True, "25.4")
+    assert nodes.follows("c2", "c1")
+    nodes.deaf("c2")  # back to where it was, and not without what its holder has just made
+    nodes.call("c1", "PATCH", f"/v1/tenants/{C2[0]}", {"max_open": 8})
+    status, value, _ = nodes.call("c2", "POST", path)
+    assert (status, value["heard_of"], value["lost"]) == (503, "16.5", 1)
+    nodes.deaf("c2", False)
+    assert nodes.follows("c2", "c1")
+    status, value, _ = nodes.call("c2", "POST", path)
+    assert (status, value["holder"], value["holder_lives"], value["begins"]) == (200, "c1", True, "25.5")
+    assert soon(lambda: nodes.table("c1").holder("c2") == "c2")
 
 
 # Members that are away
@@ -477,11 +515,11 @@
 def test_alone_with_all_others_and_all_writers_away_a_node_starts_and_serves_from_its_copy(
         tmp_path: Path) -> None:
     copy = LocalCopy(tmp_path / "n1.db", "reelusher", CONTROL)
-    writer = Replica("x", CONTROL, copy, Random(1))
+    replica = Replica("x", CONTROL, copy, Random(1))
     for number, name in enumerate((C1[0], C2[0]), 1):
         data = json.dumps(tenant(name)).encode()
-        writer.accept(stream_of(name, CONTROL), stream_of(name, CONTROL),
-                      Entry(0, name, number, "x", "active", data))
+        replica.accept(stream_of(name, CONTROL), stream_of(name, CONTROL),
+                       Entry(0, name, number, "x", "active", data))
     copy.close()
     ajp, admin, away = ("{}:{}".format(*place) for place in free_places(3))
     (tmp_path / "secret").write_text("a secret of sixteen or more")
