Serve the replicated table by pages, and refuse rather than not find while it is filled

Cause: the node held all rows of its copy in memory, and a node whose copy was being filled answered 404 for tenants that were still to come. Change: Tenants takes the copy as its source; what is not found while rows are missing is refused (tenants.refused_filling). Tests for a control member without an administration API, a node without a fleet, and a copy of another fleet.

--- a/reelusher/admin/replicated_api.py
+++ b/reelusher/admin/replicated_api.py
@@ -82,15 +82,6 @@
         more = {"unreadable": kept.unreadable} if kept.unreadable else {}
         return Reply(200, {**(self._told(self._replicated.overlapping(kept)) or {}), **more}, etag(kept))
 
-    def _usage(self, asked: Asked) -> Reply:
-        found = self._core.ask(lambda: self._tenants.usage(asked.name))
-        if found is None:
-            kept = self._replicated.kept(asked.name)
-            if kept is None:
-                raise self._nobody(asked.name)
-            found = {"name": asked.name, "state": kept.state, "in_hand": 0}  # nothing of its came here
-        return Reply(200, found)
-
     def _changes(self, asked: Asked) -> Reply:
         """Tell how far the members have the changes."""
         table = self._replicated
--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -119,6 +119,7 @@
         self._learner: Learner | None = None
         self._key_log: KeyLog | None = None
         self._replication: Replication | None = None
+        self._tenants: Tenants | None = None  # those of the replicated table
         if own:
             self._set_up(own)
 
@@ -186,37 +187,35 @@
         from reelusher.fleet.replication.streams import Replica
         from reelusher.fleet.replication.rows import Broken
         from reelusher.fleet.replication.service import Replication
-        from reelusher.tenancy.feed import Feed, RowReader
         from reelusher.tenancy.registry import Tenants
         from reelusher.tenancy.replicated import ReplicatedTable
 
         told, backends = own.replication, self._backends(own)
         assert told is not None and self._shares is not None
-        rows = RowReader(own.class_names, backends, self.counters)
         try:
             copy = LocalCopy(Path(told.copy), own.fleet.name if own.fleet else "", told.control,
-                             rows.fault)
+                             lambda name, value: tenants.reason(name, value))
         except Broken as error:
             raise ConfigError("replication.copy", str(error)) from None
+        tenants = Tenants((), own.class_names, self._pool.runner, self.core, self._shares, backends, copy)
         place = self.fleet.live()[0].place if self.fleet else ""
         replica = Replica(place, told.control, copy, self._spread("replica"),
                           own.fleet.zone if own.fleet else "", time.monotonic(), self.config.name)
         replication = self._replication = Replication(
             copy, replica, self.fleet, self._spread("replication"), self.counters,
             repr((own.class_names, sorted(backends))))
-        feed = Feed(copy, rows)
-        tenants = Tenants(feed.rows(), own.class_names, self._pool.runner, self.core, self._shares, backends)
         table = ReplicatedTable(replication, own.class_names, backends, self.counters)
 
         def changed(names: list[str]) -> None:
-            feed.changed(names)
+            tenants.changed(names)
             table.noticed(names)
 
         copy.on_change = changed
-        feed.start(self.core, tenants)
+        tenants.filling = replication.filling
         calls = ReplicatedTenantApi(self.core, tenants, table, self.fleet, self._spread("calls"))
         if self.fleet:
             self.fleet.serve[ChangeRequest] = calls.carried
+        self._tenants = tenants
         return tenants, table, calls
 
     def _backends(self, own: Operator) -> frozenset[str]:
@@ -468,6 +467,8 @@
         if self.fleet:
             self.fleet.close()
         self._close_copy()
+        if self._tenants:
+            self._tenants.close()
         if self.vault:
             self.vault.close()
         if self.runtime:
--- a/reelusher/tenancy/registry.py
+++ b/reelusher/tenancy/registry.py
@@ -57,6 +57,7 @@
         self._source = source
         self._pager: Pager | None = None
         self._idle_looks = False
+        self.filling: Callable[[], bool] = lambda: False  # rows of the table are still to come
         if source is not None:
             self._readers = Readers(core.counters)
             self._pager = Pager(source, self._readers.read, core.clock.now, WAIT_S)
@@ -261,6 +262,9 @@
             except Unserved as error:
                 self._core.counters.warn("tenants.unserved", "tenants: request refused: {}", error)
                 raise
+            if pin is None and self.filling():  # its row may be among those that are to come
+                self._core.counters.add("tenants.refused_filling")
+                raise Unserved("the table of tenants is being filled")
             leaf = pin.leaf if pin is not None else None
         if leaf is None:
             return None
--- a/tests/test_replicated_api.py
+++ b/tests/test_replicated_api.py
@@ -23,7 +23,7 @@
 from reelusher.admin import replicated_api
 from reelusher.config.load import merge
 from reelusher.config.operator import parse
-from reelusher.config.table import address_of
+from reelusher.config.table import ConfigError, address_of
 from reelusher.fleet.replication import service, writer
 from reelusher.fleet.replication.copy import LocalCopy
 from reelusher.fleet.replication.messages import ChangeReply, ChangeRequest, Entry
@@ -33,6 +33,7 @@
 from reelusher.net import Address
 from reelusher.server import COPY_FILES, Node
 from reelusher.tenancy import replicated
+from reelusher.tenancy.paging import Unserved
 from reelusher.tenancy.replicated import ReplicatedTable
 from reelusher.wire import ajp13
 
@@ -73,10 +74,12 @@
         self.folder, self.all = folder, dict[str, Node]()
         (folder / "secret").write_text("a secret of sixteen or more")
 
-    def start(self, *names: str, **changes: Any) -> None:
+    def start(self, *names: str, without: str = "", **changes: Any) -> None:
         for name in names:
             seeds = ["{}:{}".format(*node.fleet.address) for node in self.all.values() if node.fleet][:1]
-            node = self.all[name] = Node(merge(None, parse(config(self.folder, name, seeds, **changes))))
+            told = config(self.folder, name, seeds, **changes)
+            told.pop(without, None)
+            node = self.all[name] = Node(merge(None, parse(told)))
             node.start()
         assert soon(lambda: all(len(node.fleet.live()) == len(self.all)
                                 for node in self.all.values() if node.fleet))
@@ -96,13 +99,19 @@
         assert admin is not None and isinstance(admin._parts.table, ReplicatedTable)
         return admin._parts.table
 
+    def replication(self, at: str) -> service.Replication:
+        found = self.all[at]._replication
+        assert found is not None
+        return found
+
     def replica(self, at: str) -> Replica:
-        return self.table(at).replica
+        return self.replication(at).replica
 
     def refusal(self, at: str) -> str:
         """Return why a control member does not write at present."""
-        return next((why for stream in CONTROL if self.table(at).holder(stream) == at
-                     and (why := self.table(at).replication.writer.refusal(stream))), "")
+        own = self.replication(at).writer
+        return next((why for stream in own.replica.control
+                     if own.holds(stream) and (why := own.refusal(stream))), "")
 
     def positions(self, at: str) -> list[int]:
         """Return how far a node is in each stream."""
@@ -124,8 +133,8 @@
         """Return the name of the tenant that a node serves a host for; empty: none."""
         front = self.all[at].fronts["ajp"]
         assert isinstance(front, AjpFront)
-        found = front._tenants.match("GET", host, "/")
-        return found.tenant.name if found is not None and found.admitted else ""
+        with front._tenants.matched("GET", host, "/") as found:
+            return found.tenant.name if found is not None and found.admitted else ""
 
     def serves(self, at: str, name: str) -> bool:
         """Tell whether a node serves a tenant."""
@@ -441,6 +450,51 @@
     assert soon(lambda: nodes.table("c1").holder("c2") == "c2")
 
 
+# Nodes of another kind
+
+
+def test_a_control_member_needs_no_administration_api_of_its_own(nodes: Nodes) -> None:
+    nodes.start("c1")
+    nodes.start("c2", without="admin")
+    assert nodes.call("c1", "POST", "/v1/tenants?copies=1", tenant(C2[0]))[0] == 201
+    assert soon(lambda: nodes.serves("c1", C2[0]) and nodes.serves("c2", C2[0]))
+
+
+def test_without_a_fleet_a_node_is_the_one_that_writes(nodes: Nodes) -> None:
+    told = {"replication": {"copy": str(nodes.folder / "c1.db"), "control": ["c1"]}}
+    nodes.start("c1", without="fleet", **told)
+    for name in (C1[0], C2[0]):
+        assert nodes.call("c1", "POST", "/v1/tenants", tenant(name))[0] == 201
+        assert soon(lambda: nodes.serves("c1", name))  # noqa: B023
+    assert nodes.call("c1", "POST", "/v1/tenants?copies=1", tenant(C2[1]))[0] == 400
+    changes = nodes.call("c1", "GET", "/v1/fleet/changes")[1]
+    assert [(one["stream"], one["position"]) for one in changes["streams"]] == [("c1", "8.2")]
+    nodes.stop("c1")
+    nodes.start("c1", without="fleet", **told)
+    assert nodes.serves("c1", C2[0])
+    assert nodes.call("c1", "DELETE", f"/v1/tenants/{C2[0]}")[0] == 204
+
+
+def test_while_a_copy_is_filled_a_host_that_is_not_found_is_no_404(nodes: Nodes) -> None:
+    nodes.start("c1")
+    assert nodes.call("c1", "POST", "/v1/tenants", tenant(C1[0]))[0] == 201
+    front = nodes.all["c1"].fronts["ajp"]
+    assert isinstance(front, AjpFront)
+    assert nodes.owner("c1", "nobody.example") == ""
+    front._tenants.filling = lambda: True
+    assert nodes.serves("c1", C1[0])
+    with pytest.raises(Unserved), front._tenants.matched("GET", "nobody.example", "/"):
+        pass
+
+
+def test_a_copy_of_another_fleet_is_not_opened(nodes: Nodes) -> None:
+    nodes.start("c1")
+    nodes.stop("c1")
+    with pytest.raises(ConfigError, match=r"^replication\.copy: .*fleet"):
+        Node(merge(None, parse(config(nodes.folder, "c1", [], fleet={
+            "name": "other", "listen": "127.0.0.1:0", "secret_file": str(nodes.folder / "secret")}))))
+
+
 # Members that are away
 
 
@@ -600,7 +654,7 @@
                           env={**os.environ, **names, "PYTHONPATH": str(ROOT)}, check=True)
     loaded = set(json.loads(done.stdout))
     replicated = {"sqlite3", "reelusher.fleet.replication", "reelusher.tenancy.replicated",
-                  "reelusher.tenancy.feed", "reelusher.admin.replicated_api"}
+                  "reelusher.admin.replicated_api"}
     assert loaded & replicated == (replicated if where == "with [replication]" else set())
     if where == "on the platform":
         rest = ("reelusher.admin", "reelusher.fleet", "reelusher.fronts.ajp", "reelusher.tenancy", "msgspec",
