Answer 503 where a copy can't be read, and refuse what can't be carried

Cause: reads of the copy wait for a connection so long and no longer, and then failed as 500; a call too long for the wire would have been told as perhaps made; half of a pair of surrogates in a tenant was 500. Change: 503 with Retry-After, 413, and 400 with the tenant's name.

--- a/reelusher/admin/openapi.py
+++ b/reelusher/admin/openapi.py
@@ -86,13 +86,15 @@
      {200: "this node, its health, and all members that it knows", 404: "this node is in no fleet"}),
     ("POST", "/v1/fleet/forget/{name}", "Have the fleet forget dead members of a name.", [], None,
      {202: "they count as left", 404: "none is known", 409: "one lives"}),
-    ("GET", "/v1/fleet/changes", "Tell how far the members have the changes of the replicated table.", [],
+    ("GET", "/v1/fleet/changes", "Tell how far the members have the changes of the replicated table.", [
+        {"name": "after", "in": "query", "schema": WHOLE, "description": "of orphans, for the next of them"}],
      None, {200: "streams, positions, who is behind", 404: "this node has no [replication]"}),
     ("POST", "/v1/fleet/take-over/{name}", "Have this control member write a stream from now on.", [
         DRY, {"name": "force", "in": "query", "schema": {"type": "boolean"},
               "description": "also where others have changes that are not here: they are lost"}], None,
      {200: "where the stream stands, and what is lost", 404: "there is no such stream",
-      409: "this member can't, or need not: the text says who can", 507: "not made durable, not made"}),
+      409: "this member can't, or need not: the text says who can", 503: "others have what it lacks",
+      507: "not made durable, not made"}),
     ("GET", "/v1/counters", "Return all counters.", [], None, {200: "counts by name"}),
     ("GET", "/v1/openapi.json", "Return this document.", [], None, {200: "an OpenAPI document"}),
     ("POST", "/v1/drain", "Have the node leave.", [], None, {202: "it leaves", 409: "it does already"})]
--- a/reelusher/admin/replicated_api.py
+++ b/reelusher/admin/replicated_api.py
@@ -20,12 +20,13 @@
 from reelusher.core.owner import Core
 from reelusher.fleet.membership.messages import Update
 from reelusher.fleet.membership.service import Unanswered, Unreached
-from reelusher.fleet.replication.messages import ChangeReply, ChangeRequest
+from reelusher.fleet.replication.messages import MOST_CHANGE, ChangeReply, ChangeRequest
+from reelusher.fleet.replication.rows import Broken
 from reelusher.fleet.replication.streams import Position
 from reelusher.tenancy.durable.state import Standing as Kept
 from reelusher.tenancy.durable.state import shown
 from reelusher.tenancy.registry import Tenants
-from reelusher.tenancy.replicated import Busy, ReplicatedTable, Standing, told
+from reelusher.tenancy.replicated import MOST_WHO, Busy, ReplicatedTable, Standing, told
 
 COPIES_S = 5.0  # that a call waits for copies
 CARRIED_S = 4.0  # that the holder has for a call that is carried there, beside the wait for copies
@@ -35,6 +36,7 @@
 MOST_LISTED = 100  # rows that are told of at once
 POSITIONS, COUNTED = "/positions", "/counted"  # what members ask each other: how far they are, and others
 ASK_S = 1.0  # that a member has to say it
+MOST_TARGET = 4096  # characters of path and query, as a carried call has them
 HEADERS = "if-match", "idempotency-key"  # that a call is carried with
 
 Key = tuple[str, str, bool]  # method, kind, is a name given
@@ -65,6 +67,7 @@
         self.routes |= {key: self._sender(key) for key in self._makes} | {
             ("GET", "fleet/changes", False): self._changes,
             ("POST", "fleet/take-over", True): self._take_over}
+        self.routes = {key: self._readable(react) for key, react in self.routes.items()}
 
     # Looking, at this node's copy
 
@@ -246,6 +249,15 @@
             raise self._later(f"{len(places)} live members are named {name!r}: nothing was changed")
         return places[0] if places else ""
 
+    def _readable(self, react: Handler) -> Handler:
+        """Return what answers the same, and 503 where this node's copy can't be read."""
+        def answer(asked: Asked) -> Reply:
+            try:
+                return react(asked)
+            except Broken as error:
+                raise self._later(f"this node's copy can't be read: {error}: nothing was changed") from None
+        return answer
+
     def _sender(self, key: Key) -> Handler:
         """Return what makes a change here or sends it on to its holder."""
         def react(asked: Asked) -> Reply:
@@ -264,10 +276,14 @@
             raise self._later(f"{holder!r} makes the changes of {self._name(asked)!r} and is not there: "
                               "nothing was changed")
         path = f"/v1/tenants{'/' * bool(asked.name)}{quote(asked.name, '')}{kind.removeprefix('tenants')}"
+        target = f"{path}?{urlencode(asked.query)}"
+        body = b"" if asked.value is None else json.dumps(asked.value).encode()
+        if len(target) > MOST_TARGET or len(body) > MOST_CHANGE:
+            raise Refused(413, "it is too long to be carried to the member that makes the change")
         request = ChangeRequest(
-            self._live()[0].place, method, f"{path}?{urlencode(asked.query)}",
-            {name: asked.headers[name] for name in HEADERS if name in asked.headers},
-            b"" if asked.value is None else json.dumps(asked.value).encode(), asked.who)
+            self._live()[0].place, method, target,
+            {name: asked.headers[name] for name in HEADERS if name in asked.headers}, body,
+            asked.who[:MOST_WHO])
         if not self._sends.acquire(blocking=False):
             raise self._later("too many calls are on their way to other members: nothing was changed")
         try:
@@ -292,6 +308,10 @@
         try:
             with refusing(request.method, request.target):
                 reply = self._carried(request)
+        except Broken as error:
+            later = self._later(f"the copy of {self._replicated.own_name!r} can't be read: {error}: "
+                                "nothing was changed")
+            reply = Reply(later.status, later.value, later.headers)
         except Refused as error:
             reply = Reply(error.status, error.value, error.headers)
         except Exception:
--- a/reelusher/tenancy/replicated.py
+++ b/reelusher/tenancy/replicated.py
@@ -155,7 +155,10 @@
         held = _guarantee(before.tenant) if before else 0.0
         if tenant.share.guarantee > held and self.copy.guaranteed() - held + tenant.share.guarantee > FULL:
             raise ConfigError("share.guarantee", "the guarantees of all shares add up to more than 1")
-        size = len(msgspec.json.encode(tenant.to_json()))
+        try:
+            size = len(msgspec.json.encode(tenant.to_json()))
+        except UnicodeEncodeError as error:  # half of a pair of surrogates
+            raise ConfigError(tenant.name, f"it is no Unicode: {error}") from None
         if size > MOST_TENANT:
             raise ConfigError(tenant.name, f"at most {MOST_TENANT} bytes of JSON are wanted, not {size}")
         return tenant
--- a/tests/test_replicated_api.py
+++ b/tests/test_replicated_api.py
@@ -206,7 +206,8 @@
     (tenant(C2[0], prefix="x"), 400, "prefix"), ({"name": C2[0]}, 400, "backend"),
     (tenant("a b"), 400, "name"), ({"backend": "w1"}, 400, "name"), ([], 400, "the whole"),
     (tenant(C2[0], share={"guarantee": 0.8}), 400, "share.guarantee"),
-    (tenant(C2[0], hosts=["h" * 60_000]), 400, C2[0]), (tenant(C2[1]), 409, "name")])
+    (tenant(C2[0], hosts=["h" * 60_000]), 400, C2[0]),
+    (tenant(C2[0], prefix="/\ud800"), 400, C2[0]), (tenant(C2[1]), 409, "name")])
 def test_a_wrong_row_is_refused_with_its_key_and_numbered_nowhere(
         pair: Nodes, value: Any, status: int, named: str) -> None:
     before = pair.positions("c1"), pair.positions("c2")
@@ -290,6 +291,32 @@
     assert nodes.call(at, "POST", "/v1/tenants", tenant(C2[0]))[2]["etag"] == '"9.1"'
 
 
+@pytest.mark.parametrize("at", ["c1", "c2"])
+def test_while_its_copy_can_not_be_read_a_member_answers_so_and_changes_nothing(
+        nodes: Nodes, at: str) -> None:
+    nodes.start("c1", "c2")
+    copy, before = nodes.replication("c2").copy, nodes.positions("c2")
+
+    def broken(name: str) -> None:
+        raise Broken("no connection is free")
+
+    copy.get = broken  # type: ignore[method-assign]
+    status, value, headers = nodes.call(at, "POST", "/v1/tenants", tenant(C2[0]))
+    assert (status, nodes.positions("c2")) == (503, before)
+    assert "nothing was changed" in value["error"] and "retry-after" in headers
+    assert nodes.call("c2", "GET", f"/v1/tenants/{C2[0]}")[0] == 503
+    del copy.get
+    assert nodes.call(at, "POST", "/v1/tenants", tenant(C2[0]))[0] == 201
+
+
+def test_what_is_too_long_to_be_carried_is_refused_at_once(nodes: Nodes) -> None:
+    nodes.start("c1", "c2")
+    assert nodes.call("c1", "POST", f"/v1/tenants?x={'y' * 5000}", tenant(C2[0]))[0] == 413
+    value = tenant(C2[0], hosts=["\u00e9" * 60_000])
+    assert nodes.call("c1", "POST", "/v1/tenants", value)[0] in (400, 413)
+    assert nodes.positions("c2")[1:] == [8, 0, 9, 0]
+
+
 def test_while_one_change_is_made_another_waits_for_so_long_and_is_then_refused(
         nodes: Nodes, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(replicated, "CHANGING_S", 0.1)
