Number nothing that other members would refuse, and begin another copy with all writing held

A name of another stream, or a field past its bound, once numbered, would have kept every replica from that stream for good. A pull under way while a damaged copy was put aside could have stored its position in the new, empty one.

--- a/reelusher/fleet/replication/copy.py
+++ b/reelusher/fleet/replication/copy.py
@@ -52,6 +52,7 @@
 MOST_ORPHANS = 10_000
 MOST_ASIDE = 2  # damaged files that are kept
 GUARANTEE = 1_000_000_000  # guarantees are added up in parts of this: sums are exact
+CREATE = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
 LOST, PUT_BACK = 1, 2  # why a stream's numbers are in doubt
 ANY = ""  # in place of a host, of tenants that name none; hosts have a mark before them
 CHUNK = 64  # prefixes looked up at once
@@ -196,8 +197,7 @@
         self._made = _Totals()  # what is becoming of them in it
         try:
             path.parent.mkdir(mode=0o700, parents=True, exist_ok=True)
-            self._held = os.open(path.with_name(path.name + ".lock"),
-                                 os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            self._held = os.open(path.with_name(path.name + ".lock"), CREATE, 0o600)
         except OSError as error:
             raise Broken(str(error)) from None
         try:
@@ -227,6 +227,9 @@
         return made
 
     def _open(self, lost: bool) -> None:
+        if not self.path.exists():  # made here, for this user only; its log and index then are so, too
+            with contextlib.suppress(OSError):
+                os.close(os.open(self.path, CREATE, 0o600))
         with self._told():
             self._conn = self._connected(CACHE_KB[0])
             self._prepare(self._conn, lost)
--- a/reelusher/fleet/replication/messages.py
+++ b/reelusher/fleet/replication/messages.py
@@ -24,7 +24,7 @@
 
     number: Number
     name: Name
-    at_ms: int  # Unix time, by the clock of the writer
+    at_ms: Number  # Unix time, by the clock of the writer
     who: Annotated[str, msgspec.Meta(max_length=256)]
     state: Annotated[str, msgspec.Meta(max_length=32)]
     tenant: Annotated[bytes, msgspec.Meta(max_length=MOST_TENANT)]  # JSON
--- a/reelusher/fleet/replication/service.py
+++ b/reelusher/fleet/replication/service.py
@@ -234,8 +234,7 @@
             return
         self._renew_s = now + self._random.uniform(*RENEW_S)
         why = self.copy.damaged
-        self.copy.renew()
-        self.replica.reload()
+        self.replica.reload(self.copy.renew)
         self._tell_damaged(why)
 
     def _tell_damaged(self, why: str) -> None:
--- a/reelusher/fleet/replication/streams.py
+++ b/reelusher/fleet/replication/streams.py
@@ -32,6 +32,8 @@
 from random import Random
 from typing import NamedTuple
 
+import msgspec
+
 from reelusher.fleet.replication.messages import (
     MOST_BASES, MOST_CONTROL, MOST_INSTEAD, MOST_PIECE, MOST_REPLY, Base, EntriesReply, EntriesRequest, Entry,
     Piece)
@@ -202,9 +204,10 @@
         self._announced: list[int] = []
         self.reload()
 
-    def reload(self) -> None:
-        """Read anew where the rows stand: they were put aside and others begun."""
+    def reload(self, begin: Callable[[], object] = lambda: None) -> None:
+        """Have other rows begun by `begin`, and read where they stand; nothing is written in between."""
         with self._writing:
+            begin()
             kept = self.rows.states()
             self._level.clear()
             self._adopt({stream: kept.get(stream) or StreamState(first_epoch(stream, self.control))
@@ -487,11 +490,10 @@
             since = 0
         while most > 0:
             given = self.rows.given(stream, since, min(most, MOST_PIECE))
-            if given is None:
-                return
+            if given is None or given.state.cursor >= 0 or (
+                    given.state.epoch, given.state.number) < (state.epoch, state.number):
+                return  # other rows were begun meanwhile
             state = given.state
-            if state.cursor >= 0:
-                return
             upto = given.entries[-1].number if given.more else max(since, state.number)
             yield Piece(stream, state.epoch, state.bases, since, upto, given.entries, given.more,
                         state.horizon, max(upto, state.covered), max(upto, state.goal))
@@ -507,7 +509,16 @@
         return holder_of(self.states[stream].epoch, self.control) == own_name
 
     def accept(self, stream: str, own_name: str, made: Entry) -> Entry:
-        """Number a change of the holder's and make it durable. Raises `Behind` and `Broken`."""
+        """Number a change of the holder's and make it durable.
+
+        Raises `Behind` and `Broken`, and ValueError where no other member would take it.
+        """
+        if stream_of(made.name, self.control) != stream:
+            raise ValueError(f"{made.name!r} is not of stream {stream}")
+        try:
+            msgspec.msgpack.decode(msgspec.msgpack.encode(made), type=Entry)
+        except msgspec.ValidationError as error:
+            raise ValueError(str(error)) from None
         with self._writing:
             state = self.states[stream]
             if not self.holds(stream, own_name):
--- a/reelusher/fleet/replication/writer.py
+++ b/reelusher/fleet/replication/writer.py
@@ -17,7 +17,8 @@
 What remains. Changes that were acknowledged and that no live member has are lost where the file is; those
 that a member has which is away just then are kept aside there once it is back, and told of as orphans.
 `?copies=N` is for callers that can't have that. A member that is cut off from all others at its start takes
-itself for alone: if its file is an older one, too, what it accepts ends among the orphans.
+itself for alone: if its file is an older one, too, what it accepts ends among the orphans. So does what is
+numbered before any of the members that know of more is heard, when all of the first three lag behind those.
 """
 
 import threading
--- a/tests/test_local_copy.py
+++ b/tests/test_local_copy.py
@@ -23,7 +23,7 @@
 
 from reelusher.fleet.replication import copy as copying
 from reelusher.fleet.replication.copy import MOST_ASIDE, MOST_AUDIT, Damaged, Foreign, LocalCopy
-from reelusher.fleet.replication.messages import Entry
+from reelusher.fleet.replication.messages import EntriesReply, Entry, Piece
 from reelusher.fleet.replication.rows import Broken, MemoryRows, StreamState
 from reelusher.fleet.replication.streams import Behind, Replica, first_epoch, stream_of
 from reelusher.tenancy.index import lies_under
@@ -340,6 +340,26 @@
         LocalCopy(path, "f", CONTROL)
 
 
+def test_a_copy_is_for_its_user_only(copy: LocalCopy, path: Path) -> None:
+    put(copy, entry("a", 1))
+    assert {one.stat().st_mode & 0o777 for one in path.parent.iterdir()} == {0o600}
+
+
+def test_nothing_of_a_pull_under_way_gets_into_a_copy_that_was_begun_anew(path: Path) -> None:
+    copy = filled(path, 10)
+    replica = Replica("n", CONTROL, copy, Random(1))
+    assert replica.states["c1"].number == 10
+    replica.heard("x", "", [replica.announce()[0], FIRST.epoch, 12, *replica.announce()[3:]], 1.0)
+    pull = replica.next_pull(2.0)
+    assert pull is not None
+    copy.damaged = "by the test"
+    replica.reload(copy.renew)
+    piece = Piece("c1", FIRST.epoch, (), 10, 12, [entry(C1[0], 12)], False, 0, 12, 12)
+    assert replica.take(pull, EntriesReply([piece]), 2.1).refused == ["stale"]
+    assert copy.count() == 0 and copy.states()["c1"].number == 0
+    copy.close()
+
+
 def test_a_folder_that_is_none_is_told_of(tmp_path: Path) -> None:
     (tmp_path / "file").write_text("")
     with pytest.raises(Broken):
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -17,7 +17,7 @@
 
 from reelusher.fleet.replication import streams
 from reelusher.fleet.replication.messages import (
-    MOST_PIECE, MOST_REPLY, EntriesReply, EntriesRequest, Entry, Piece)
+    MOST_PIECE, MOST_REPLY, MOST_TENANT, EntriesReply, EntriesRequest, Entry, Piece)
 from reelusher.fleet.replication.rows import Broken, MemoryRows, StreamState
 from reelusher.fleet.replication.streams import (
     JITTER_S, Behind, Position, Replica, control_digest, first_epoch, holder_of, next_epoch, pack,
@@ -289,6 +289,16 @@
     assert all_alike(fleet)
 
 
+@pytest.mark.parametrize("made", [
+    entry(C2[0]), entry(C1[0], pad="x" * MOST_TENANT), Entry(0, C1[0], 0, "o" * 257, "active", b"{}"),
+    Entry(0, C1[0], -1, "", "active", b"{}"), Entry(0, C1[0], 0, "", "active", b"{}", "k" * 257)])
+def test_what_no_other_member_would_take_is_not_numbered(made: Entry) -> None:
+    fleet = Replicas(0)
+    with pytest.raises(ValueError, match="stream|length|>="):
+        fleet.all["c1"].accept("c1", "c1", made)
+    assert fleet.all["c1"].states["c1"].number == 0
+
+
 # Tombstones, refills
 
 
@@ -659,6 +669,7 @@
     """Make steps; return what was acknowledged last of each name: its number, and whether it was removed."""
     members, names = list(fleet.all), C1[:3] + C2[:3]
     acknowledged: dict[str, tuple[int, bool]] = {}
+    given: set[tuple[str, int, int]] = set()
     for what, first, second in steps:
         before = {name: unpack(one.announce(), CONTROL) for name, one in fleet.all.items()}
         if what == "change":
@@ -668,6 +679,8 @@
                 with contextlib.suppress(Behind):
                     made = fleet.change(name, "active" if second else "", holder)
                     acknowledged[name] = made.number, not second
+                    assert (stream_of(name, CONTROL), made.epoch, made.number) not in given
+                    given.add((stream_of(name, CONTROL), made.epoch, made.number))
         elif what == "take-over":
             stream = CONTROL[second]
             with contextlib.suppress(Behind):
