--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -362,6 +362,7 @@
         taken = fleet.pull("n4", giver)
         seen.append((taken.entries, taken.refills) if taken else None)
         fleet.change(C1[3], pad=giver)  # while it is filled
+        fleet.restart("n4")  # and it goes on from where it was
     fleet.settle()
     assert seen[:4] == [(1, [])] * 4
     assert all_alike(fleet)
