--- a/reelusher/tenancy/registry.py
+++ b/reelusher/tenancy/registry.py
@@ -18,6 +18,7 @@
 from reelusher.tenancy.readers import WAIT_S, Readers
 from reelusher.tenancy.shares import Share, Shares
 
+UNREADABLE = ConfigError, ValueError, RecursionError  # that reading a row may raise
 ASK_S = 1.0  # within which the owner has taken in a tenant that was read, or its request is refused
 IDLE_LOOK_US = 1_000_000  # between looks which tenants may be let go
 CROWDED, CROWDED_IDLE_US = 7 / 8, 1_000_000  # of the room; past it tenants are let go that soon
@@ -35,6 +36,23 @@
     pin: Resident | None = field(default=None, compare=False, repr=False)
 
 
+def read_row(name: str, value: bytes, class_names: tuple[str, ...], backends: frozenset[str]) -> Tenant:
+    """Return what a row of a table says; raises `ConfigError`, `ValueError` where it can't be served."""
+    tenant = read_tenant(Table(json.loads(value), f"tenants.{name}"), class_names, backends)
+    if tenant.name != name:
+        raise ConfigError(f"tenants.{name}.name", "is not the name of the row")
+    return tenant
+
+
+def reason(name: str, value: bytes, class_names: tuple[str, ...], backends: frozenset[str]) -> str:
+    """Return why this node can't serve a row of a table, or nothing."""
+    try:
+        read_row(name, value, class_names, backends)
+    except UNREADABLE as error:
+        return str(error)
+    return ""
+
+
 class Tenants:
     """Tenants by name, with their shares, and the runners of those that have one of their own."""
 
@@ -137,14 +155,6 @@
         others = self._source.guaranteed() - (before.tenant.share.guarantee if before else 0.0)
         return others + tenant.share.guarantee <= 1 + 1e-9
 
-    def reason(self, name: str, value: bytes) -> str:
-        """Return why this node can't serve a tenant of a table, or nothing."""
-        try:
-            self._read_row(name, value)
-        except (ConfigError, ValueError) as error:
-            return str(error)
-        return ""
-
     def unreadable(self) -> dict[str, str]:
         """Return why tenants that were wanted can't be served, by name; the newest so many."""
         return {} if self._pager is None else self._pager.noted()
@@ -154,18 +164,12 @@
         if self._source is not None:
             self._readers.close()
 
-    def _read_row(self, name: str, value: bytes) -> Tenant:
-        table = Table(json.loads(value), f"tenants.{name}")
-        tenant = read_tenant(table, self._class_names, self._backends)
-        if tenant.name != name:
-            raise ConfigError(f"tenants.{name}.name", "is not the name of the row")
-        return tenant
-
     def _entry_of(self, row: Row) -> Entry | None:
         """Return what a row says; None where this node can't serve it."""
         try:
-            made = Entry(self._read_row(row.name, row.tenant), row.number, State(row.state))
-        except (ConfigError, ValueError) as error:
+            made = Entry(read_row(row.name, row.tenant, self._class_names, self._backends), row.number,
+                         State(row.state))
+        except UNREADABLE as error:
             if self._pager is not None:
                 self._pager.note(row.name, str(error))
             self._core.counters.warn("tenants.unreadable", "tenants: {!r} can't be served: {}", row.name,
@@ -302,7 +306,7 @@
     def _hosts_of(self, row: Row) -> list[str]:
         try:
             return [str(host).lower() for host in json.loads(row.tenant).get("hosts", [])]
-        except (ValueError, AttributeError, TypeError):
+        except (*UNREADABLE, AttributeError, TypeError):
             return []
 
     def _change(self, name: str, row: Row | None) -> None:
--- a/tests/test_paging.py
+++ b/tests/test_paging.py
@@ -32,7 +32,7 @@
 from reelusher.tenancy.lifecycle import Entry, State
 from reelusher.tenancy.paging import Unserved
 from reelusher.tenancy.readers import Readers
-from reelusher.tenancy.registry import IDLE_LOOK_US, Match, Tenants
+from reelusher.tenancy.registry import IDLE_LOOK_US, Match, Tenants, reason
 from reelusher.tenancy.shares import DEMAND_US, Share, Shares
 from reelusher.wire import ajp13
 
@@ -583,8 +583,10 @@
     assert entry and len(world.pager) == 0
     used = world.tenants.usage(entry)
     assert (used["name"], used["in_hand"], used["state"]) == ("a", 0, "active") and not world.shares._flows
-    assert world.tenants.reason("a", b"{") != ""
-    assert world.tenants.reason("a", world.rows.lines["a"].tenant) == ""
+    known = ("safe",), frozenset({"w"})
+    assert reason("a", world.rows.lines["a"].tenant, *known) == ""
+    for value in (b"{", b"\xff", b"[" * 100_000, b"[]", world.rows.lines["b"].tenant):
+        assert reason("a", value, *known) != ""
 
 
 # Shares of who is let go
