--- a/reelusher/fleet/membership/swim.py
+++ b/reelusher/fleet/membership/swim.py
@@ -107,6 +107,7 @@
         self.refuted = 0
         self.stalls = 0
         self.vector: Callable[[], list[int]] = list  # asked for what rides on each datagram
+        self._sized: tuple[list[int], int] = [], 0  # what was asked for last, and its bytes
         self.heard: Callable[[str, list[int], float], None] = lambda sender, vector, now: None
         self.sync_with: set[str] = set()  # members to exchange full states with: there is much to tell
         self._probe: Probe | None = None
@@ -289,8 +290,10 @@
             return
         self._seq += 1
         direct_s = self.direct_s(target) * slower
-        # by way of a helper it may be as far again, twice
-        end_s = max(PERIOD_S * 0.9 * slower, direct_s + 2 * max(self._ways.values(), default=0.0))
+        # by way of a helper it may be as far again, twice; until the ways are known, as far as direct
+        far_s = max(self._ways.values(), default=0.0)
+        far_s = max(far_s, direct_s) if direct_s > DIRECT_S * slower else far_s
+        end_s = max(PERIOD_S * 0.9 * slower, direct_s + 2 * far_s)
         self._probe = Probe(target, self._seq, now + direct_s, now + end_s, now)
         self._send(target, Kind.PING, self._seq)
 
@@ -383,11 +386,15 @@
         self._queued += 1
         heappush(self._least_told, (news.sent, self._queued, news))
 
-    def _pick_news(self, to: str, left: int) -> list[Update]:
-        """Return what is to be told: what concerns the one spoken to first, then what was told least."""
+    def _pick_news(self, to: str, left: int) -> tuple[list[Update], int]:
+        """Return what is to be told: what concerns the one spoken to first, then what was told least.
+
+        With the bytes that are left: negative where one piece took more.
+        """
         about = self.table.members.get(to)
         told = [about.said] if about is not None and about.said.state is not State.ALIVE else []
-        left -= sum(map(update_size, told))
+        if told:
+            left -= update_size(told[0])
         limit, again = self._limit(), list[News]()
         while self._least_told and len(told) < MOST_NEWS:
             news = self._least_told[0][2]
@@ -408,24 +415,32 @@
                 again.append(news)
         for news in again:
             self._queue(news)
-        return told
+        return told, left
 
     def _send(self, to: str, kind: Kind, seq: int = 0, target: str = "") -> None:
+        told, left = self._pick_news(to, NEWS_BYTES - self._vector_size())
+        self._emit(to, kind, seq, target, told, left >= 0)
+
+    def _vector_size(self) -> int:
         vector = self.vector()
-        left = NEWS_BYTES - sum(map(number_size, vector))
-        self._emit(to, kind, seq, target, self._pick_news(to, left), vector)
+        if vector is not self._sized[0]:  # it is asked for each datagram, and seldom another
+            self._sized = vector, sum(map(number_size, vector))
+        return self._sized[1]
 
-    def _emit(self, to: str, kind: Kind, seq: int, target: str, told: list[Update],
-              vector: list[int]) -> None:
-        if vector and sum(map(number_size, vector)) + sum(map(update_size, told)) > NEWS_BYTES:
-            vector = []  # one piece with names as long as they may be
+    def _emit(self, to: str, kind: Kind, seq: int, target: str, told: list[Update], fits: bool) -> None:
+        """Send a message, without the vector where one piece with the longest names leaves no room for it."""
+        vector = self._sized[0] if fits else []
         self._said.out.append((to, Message(kind, self.own.place, seq, target, told, vector)))
 
+    def _tell(self, to: str, said: Update) -> None:
+        """Send one piece of news by itself."""
+        self._emit(to, Kind.GOSSIP, 0, "", [said], self._vector_size() + update_size(said) <= NEWS_BYTES)
+
     def _gossip(self, now: float) -> None:
         self._next_gossip_s = now + GOSSIP_S * self.random.uniform(0.9, 1.1)
         for _ in range(min(TELLS, len(self._tells))):
             said = self._tells.popleft()
-            self._emit(said.place, Kind.GOSSIP, 0, "", [said], self.vector())
+            self._tell(said.place, said)
         if self._news:
             for to in self.table.some(FANOUT):
                 self._send(to, Kind.GOSSIP)
@@ -553,7 +568,7 @@
         self.own = replace(self.own, state=State.LEFT)
         self._spread(self.own)
         for to in self.table.some(FANOUT * 3):
-            self._emit(to, Kind.GOSSIP, 0, "", [self.own], self.vector())
+            self._tell(to, self.own)
         return self._took()
 
     def forget(self, place: str, now: float) -> Said | None:
