--- a/reelusher/lab/capacity/books.py
+++ b/reelusher/lab/capacity/books.py
@@ -93,6 +93,7 @@
         self.counts: Counter[str] = Counter()
         self.away: dict[str, list[Span]] = {}  # by node
         self.cuts: dict[str, list[Span]] = {}
+        self.spoilt: set[str] = set()  # tenants that have broken a rule which leaves open how they stand
 
     def history(self, name: str) -> History:
         """Return the history of a tenant."""
@@ -158,8 +159,9 @@
             self.counts["changes_found_made"] += 1
             return
         told = ", ".join(map(str, step.refusals)) or "nothing"
-        self.broken.append(f"{name}: {step.op} was answered {told} and made all the same, "
-                           f"or the change before it is lost ({status})")
+        self.spoilt.add(name)
+        self.broken.append(f"{name}: {step.op} was answered {told} and made all the same, or the change "
+                           f"before it is lost: it is answered {status} now")
 
     def note_acked(self, name: str, revision: Revision | None, now: float) -> None:
         """Note that the newest step is made."""
@@ -238,7 +240,7 @@
 
     def expected(self) -> dict[str, Row]:
         """Return the rows that all nodes must show in the end."""
-        return {name: history.last.row for name, history in self.histories.items()}
+        return {name: history.last.row for name, history in self.histories.items() if name not in self.spoilt}
 
     def settles(self, node: str, rows: dict[str, Row], now: float) -> bool:
         """Tell whether the rows that a node showed are those that all must show in the end."""
@@ -254,6 +256,8 @@
     def close(self, shown: dict[str, dict[str, Row]], revisions: dict[str, dict[str, Revision]]) -> None:
         """Hold every acknowledged change against the rows and revisions that nodes show last."""
         for name, history in self.histories.items():
+            if name in self.spoilt:
+                continue
             if history.last.acked_s is None:
                 self.broken.append(f"{name}: {history.last.op} never had a definite answer")
                 continue
--- a/reelusher/lab/capacity/live.py
+++ b/reelusher/lab/capacity/live.py
@@ -343,7 +343,7 @@
 
     async def _change_on(self, name: str) -> None:
         """Change a tenant again and again."""
-        while self.changing:
+        while self.changing and name not in self.books.spoilt:
             await self._change(name)
             if self.changing:
                 await asyncio.sleep(self.random.expovariate(self.proof.changes / len(self.tenants)))
@@ -395,7 +395,7 @@
                 except Unreached:
                     step.out = False
                 else:
-                    if await self._answered(name, step, told):
+                    if await self._answered(name, step, told) or name in books.spoilt:
                         return
             await asyncio.sleep(self.random.uniform(*REST_S))
 
@@ -420,6 +420,9 @@
             raise RuntimeError(f"{step.op} of {name} was answered {told.status}: {told.value}")
         if told.status == MADE[step.op] and await self._made_before(name, step, told.status):
             return True
+        if told.status == 404:
+            books.spoilt.add(name)
+            books.broken.append(f"{name}: {step.op} found no tenant, though its last change was acknowledged")
         if step.out:
             books.note_refused(name, told.status)
         return False
@@ -432,6 +435,9 @@
             self.books.note_made_before(name, status)
             self.books.note_acked(name, None, self.loop.time())
             return True
+        if status == 412 and not step.doubtful:
+            self.books.note_made_before(name, status)
+            return False
 
         def showing() -> list[str]:
             return [node for node in self.up() if self.rows[node].get(name) == step.row]
@@ -593,7 +599,7 @@
         if not await self.until(lambda: len(self.up()) == len(self.names) and not self.cut, 2 * START_S):
             books.broken.append(f"not all came back: {self.state}")
         self.changing = False
-        if not await self.until(lambda: all(history.last.acked_s is not None
+        if not await self.until(lambda: all(history.last.acked_s is not None or history.name in books.spoilt
                                             for history in books.histories.values()), SETTLE_S):
             books.broken.append("not all changes have a definite answer, with all nodes there")
         began_s = self.loop.time()
