--- a/reelusher/server.py
+++ b/reelusher/server.py
@@ -187,14 +187,14 @@
         from reelusher.fleet.replication.streams import Replica
         from reelusher.fleet.replication.rows import Broken
         from reelusher.fleet.replication.service import Replication
-        from reelusher.tenancy.registry import Tenants
+        from reelusher.tenancy.registry import Tenants, reason
         from reelusher.tenancy.replicated import ReplicatedTable
 
         told, backends = own.replication, self._backends(own)
         assert told is not None and self._shares is not None
         try:
             copy = LocalCopy(Path(told.copy), own.fleet.name if own.fleet else "", told.control,
-                             lambda name, value: tenants.reason(name, value))
+                             lambda name, value: reason(name, value, own.class_names, backends))
         except Broken as error:
             raise ConfigError("replication.copy", str(error)) from None
         tenants = Tenants((), own.class_names, self._pool.runner, self.core, self._shares, backends, copy)
