--- a/Makefile
+++ b/Makefile
@@ -13,15 +13,19 @@
 # start thirty at once take all cores, and run behind them. Every verdict counts.
 RIG = tests/test_fleet_rig.py tests/test_fleet_ramp.py
 LONG = tests/test_membership.py tests/test_shares.py
+TABLE = tests/test_replication.py tests/test_local_copy.py tests/test_paging.py tests/test_tenant_index.py \
+	tests/test_capacity.py tests/test_capacity_model.py
+LIVE = tests/test_live_changes.py tests/test_replicated_api.py
 READY = tests/test_ready.py
+LANES = RIG LONG TABLE LIVE
 PYTEST = .venv/bin/python -m pytest -q
 test: lint
-	@logs=$$(mktemp -d); $(PYTEST) $(RIG) >$$logs/rig 2>&1 & rig=$$!; \
-	$(PYTEST) $(LONG) >$$logs/long 2>&1 & long=$$!; \
-	$(PYTEST) $(addprefix --ignore=,$(RIG) $(LONG) $(READY)); rest=$$?; \
-	wait $$long; played=$$?; wait $$rig; beside=$$?; cat $$logs/long $$logs/rig; rm -rf $$logs; \
-	$(PYTEST) $(READY); ready=$$?; \
-	exit $$((rest | beside | played | ready))
+	@logs=$$(mktemp -d); pids=; failed=0; \
+	$(foreach lane,$(LANES),$(PYTEST) $($(lane)) >$$logs/$(lane) 2>&1 & pids="$$pids $$!";) \
+	$(PYTEST) $(addprefix --ignore=,$(foreach lane,$(LANES),$($(lane))) $(READY)) || failed=1; \
+	for pid in $$pids; do wait $$pid || failed=1; done; cat $$logs/*; rm -rf $$logs; \
+	$(PYTEST) $(READY) || failed=1; \
+	exit $$failed
 
 # One arena: with one for each few threads, memory that short-lived threads free is not given to others.
 run:
