--- a/tests/test_local_copy.py
+++ b/tests/test_local_copy.py
@@ -475,6 +475,31 @@
     copy.close()
 
 
+def test_what_is_raised_within_a_change_undoes_it_whole_and_the_next_is_taken(copy: LocalCopy) -> None:
+    put(copy, entry("a", 1))
+    before = copy.states(), copy.count(), copy.guaranteed()
+    with pytest.raises(OverflowError):
+        put(copy, entry("b", 2, share={"guarantee": 0.5}), Entry(3, "c", 1 << 70, "", "active", b"{}"))
+    assert (copy.states(), copy.count(), copy.guaranteed()) == before and copy.get("b") is None
+    put(copy, entry("b", 2))
+    assert copy.count() == 2 and copy.match("b.example", "/") is not None
+
+
+def test_what_a_holder_accepts_is_synced_and_what_is_pulled_need_not_be(copy: LocalCopy) -> None:
+    def level() -> int:
+        assert copy._conn is not None
+        return int(copy._conn.execute("PRAGMA synchronous").fetchone()[0])
+
+    replica = Replica("c1", CONTROL, copy, Random(1))
+    for number in (1, 3):
+        assert replica.accept("c1", "c1", entry(C1[number])).number == number and level() == 2
+        put(copy, entry(C1[number + 1], number + 1))
+        replica.reload()
+        assert level() == 1
+    replica.begin_term("c1", "c1")
+    assert level() == 2
+
+
 # Kills
 
 
--- a/tests/test_replication_service.py
+++ b/tests/test_replication_service.py
@@ -154,6 +154,36 @@
     fleet.close()
 
 
+def test_a_term_begins_only_once_nobody_has_told_of_more_for_a_while(tmp_path: Path) -> None:
+    fleet, clock = Replicas(2, tmp_path), Clock()
+    for name in C1[:3]:
+        fleet.change(name)
+        fleet.pull("n1", "c1")
+        if name == C1[1]:
+            fleet.pull("n2", "c1")
+    fleet.add("c1")
+    writer = writer_of(fleet, clock)
+    writer.heard("n2")
+    writer.tick(1, False)
+    fleet.pull("c1", "n2")
+    writer.tick(1, False)
+    for _ in range(3):
+        clock.now += QUIET_S - 1
+        fleet.all["c1"].heard("n1", "", list(fleet.all["n1"].announce()), clock.now)
+        writer.tick(1, False)
+    fleet.pull("c1", "n1")
+    assert fleet.all["c1"].states["c1"].number == 3
+    writer.tick(1, False)
+    clock.now += QUIET_S - 0.1
+    writer.tick(1, False)
+    with pytest.raises(Behind, match="older one"):
+        writer.accept("c1", entry(C1[3]))
+    clock.now += 0.2
+    writer.tick(1, False)
+    assert writer.accept("c1", entry(C1[3])).number == 4
+    fleet.close()
+
+
 def test_a_claim_that_nobody_makes_good_stops_counting() -> None:
     fleet, clock = Replicas(1), Clock()
     writer = writer_of(fleet, clock)
