--- a/reelusher/lab/capacity/fill.py
+++ b/reelusher/lab/capacity/fill.py
@@ -94,9 +94,14 @@
 
     async def _play(self) -> None:
         await asyncio.gather(self._start(WRITER), self._start(FRESH))
-        told = await call(self.places[WRITER].admin, "POST", "/v1/tenants", tenant(SERVED, 0))
-        if told is None or told.status != 201:
-            raise RuntimeError(f"the writer answered {told}")
+        ends_s = self.loop.time() + START_S
+        while True:  # a writer that has heard nobody yet refuses
+            told = await call(self.places[WRITER].admin, "POST", "/v1/tenants", tenant(SERVED, 0))
+            if told is not None and told.status == 201:
+                break
+            if told is None or told.status != 503 or self.loop.time() > ends_s:
+                raise RuntimeError(f"the writer answered {told}")
+            await asyncio.sleep(0.1)
         await self._has(SERVED, START_S)
         self.nodes.send(WRITER, signal.SIGTERM)
         while self.nodes.alive(WRITER):
