--- a/reelusher/lab/capacity/hollow.py
+++ b/reelusher/lab/capacity/hollow.py
@@ -22,16 +22,17 @@
 from collections.abc import Callable
 from copy import copy
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, TypeVar
 
 from msgspec.structs import replace
 
 from reelusher.config.table import Address, ConfigError, address_of
 from reelusher.fleet.membership.messages import (
-    MOST_DATAGRAM, MOST_STATE, FactsReply, FactsRequest, Message, Refused, Seal, State, StateReply,
-    StateRequest, Update)
+    BUCKETS, MOST_DATAGRAM, MOST_STATE, BucketsRequest, DigestReply, DigestRequest, FactsReply, FactsRequest,
+    Message, Refused, Seal, State, StateReply, StateRequest, Update)
 from reelusher.fleet.membership.swim import Said, Swim
 from reelusher.fleet.membership.table import Table
 from reelusher.fleet.replication.messages import EntriesReply, EntriesRequest, Entry
@@ -39,13 +40,14 @@
 from reelusher.fleet.replication.streams import Pull, Replica, stream_of
 from reelusher.lab.fleet.rig import free_port
 
+T = TypeVar("T")
 EXCHANGE_S = 2.0
 SYNC_S = 15.0, 30.0  # between exchanges of full states with a member by chance, as nodes do
 WAY_S = 0.001  # from one hollow member to another
 STEP_S = 0.02
 LOOK_S = 0.05  # between looks whether a change is everywhere
 READS = 4  # datagrams taken from one socket before the next
-SOURCES = StateRequest | FactsRequest | EntriesRequest
+REQUESTS = StateRequest | DigestRequest | BucketsRequest | FactsRequest | EntriesRequest
 FIRST_NET = 100  # hollow members are at 127.100.0.1 and on
 
 
@@ -202,7 +204,7 @@
             if now >= member.sync_s:
                 member.sync_s = now + self.random.uniform(*SYNC_S)
                 for place in member.swim.table.some(1):
-                    self._exchange_states(member, place)
+                    self._compare(member, place)
             if (pull := member.replica.next_pull(now)) is not None:
                 self._pull(member, pull)
             self._wake(member)
@@ -229,8 +231,7 @@
                 continue
             if place in self.members and not self.sealed:
                 self.counts["handed_over"] += 1
-                # copies, as over a wire: `Swim` tells by identity what it holds already
-                message = replace(message, updates=list(map(copy, message.updates)))
+                message = replace(message, updates=_copies(message.updates))
                 self.ways.append((self.now + WAY_S, place, message))
                 continue
             self.counts["sent"] += 1
@@ -240,7 +241,7 @@
         if member.swim.sync_with:
             found = member.swim.sync_with.pop()
             member.swim.sync_with.clear()
-            self._exchange_states(member, found)
+            self._compare(member, found)
 
     def _read(self, member: Member) -> None:
         assert member.sock is not None
@@ -261,26 +262,31 @@
 
     # Full states and entries
 
-    def _exchange_states(self, member: Member, place: str) -> None:
+    def _compare(self, member: Member, place: str) -> None:
+        """Exchange with a member what the two know otherwise than each other, as nodes do."""
         if self._apart(member, place):
             return
-        self.counts["states"] += 1
-        request = StateRequest(member.place, member.swim.state())
-        other = self.members.get(place)
+        self.counts["compared"] += 1
+        request, other = DigestRequest(member.place, member.swim.digest()), self.members.get(place)
         if other is not None:
-            reply = self._answer(other, replace(request, updates=list(map(copy, request.updates))))
-            assert isinstance(reply, StateReply)
-            self._carry_out(member, member.swim.merge(map(copy, reply.updates), self.now))
-            self._wake(other)
+            digests = other.swim.compared(request.whole)
+            if digests and (buckets := member.swim.differing(digests)):
+                mine = BucketsRequest(member.place, buckets, _copies(member.swim.in_buckets(buckets)))
+                self._merge(member, self._answer(other, mine))
+                self._wake(other)
             return
 
-        def take(frame: bytes) -> bytes:
-            reply = member.seal.open(frame, StateReply, MOST_STATE)[1]
-            self._carry_out(member, member.swim.merge(reply.updates, self.now))
-            self._wake(member)
-            return b""
+        def compare(reply: DigestReply) -> None:
+            buckets = member.swim.differing(reply.digests) if len(reply.digests) == BUCKETS else []
+            if buckets:
+                mine = BucketsRequest(member.place, buckets, member.swim.in_buckets(buckets))
+                self._ask(member, place, mine, StateReply, partial(self._merge, member))
 
-        self._ask(member, place, request, take, lambda: None)
+        self._ask(member, place, request, DigestReply, compare)
+
+    def _merge(self, member: Member, reply: StateReply) -> None:
+        self._carry_out(member, member.swim.merge(_copies(reply.updates), self.now))
+        self._wake(member)
 
     def _pull(self, member: Member, pull: Pull) -> None:
         self.counts["pulls"] += 1
@@ -290,39 +296,44 @@
         elif other is not None:
             member.replica.take(pull, other.replica.asked(pull.request, self.now), self.now)
         else:
-            def take(frame: bytes) -> bytes:
-                reply = member.seal.open(frame, EntriesReply, MOST_STATE)[1]
+            def take(reply: EntriesReply) -> None:
                 member.replica.take(pull, reply, self.now)
                 self._wake(member)
-                return b""
 
             def failed() -> None:
                 member.replica.failed(pull, self.now)
                 self._wake(member)
 
             self.counts["pulls_of_nodes"] += 1
-            self._ask(member, pull.place, pull.request, take, failed)
+            self._ask(member, pull.place, pull.request, EntriesReply, take, failed)
 
     def _answer(self, member: Member, asked: Any) -> Any:
         match asked:
-            case StateRequest():
+            case StateRequest() | BucketsRequest():
                 self._carry_out(member, member.swim.merge(asked.updates, self.now))
-                return StateReply(member.swim.state())
+                return StateReply(member.swim.state() if isinstance(asked, StateRequest)
+                                  else member.swim.in_buckets(asked.buckets))
+            case DigestRequest():
+                return DigestReply(member.swim.compared(asked.whole))
             case EntriesRequest():
                 return member.replica.asked(asked, self.now)
         return FactsReply(False, [])
 
     # Exchanges with real nodes
 
-    def _ask(self, member: Member, place: str, request: Any, take: Callable[[bytes], bytes],
-             failed: Callable[[], None]) -> None:
+    def _ask(self, member: Member, place: str, request: Any, kind: type[T], take: Callable[[T], None],
+             failed: Callable[[], None] = lambda: None) -> None:
+        def open_frame(frame: bytes) -> bytes:
+            take(member.seal.open(frame, kind, MOST_STATE)[1])
+            return b""
+
         data = member.seal.close(request)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.bind((member.place.split(":")[0], 0))
         sock.connect_ex(address_of(place, "place"))
-        one = Exchange(sock, time.monotonic() + EXCHANGE_S, len(data).to_bytes(4) + data, take=take,
-                       failed=failed)
+        one = Exchange(sock, time.monotonic() + EXCHANGE_S, len(data).to_bytes(4) + data,
+                       take=open_frame, failed=failed)
         self.exchanges.add(one)
         self.selector.register(sock, selectors.EVENT_WRITE, ("exchange", one))
 
@@ -334,7 +345,7 @@
         sock.setblocking(False)
 
         def take(frame: bytes) -> bytes:
-            asked = member.seal.open(frame, SOURCES, MOST_STATE)[1]
+            asked = member.seal.open(frame, REQUESTS, MOST_STATE)[1]
             self.counts[f"asked_{type(asked).__name__}"] += 1
             if self._apart(member, asked.sender):
                 return b""
@@ -421,6 +432,11 @@
         return found == wanted
 
 
+def _copies(updates: list[Update]) -> list[Update]:
+    """Return others that say the same, as if they had crossed a wire."""
+    return list(map(copy, updates))
+
+
 def serve(hollow: Hollow) -> None:
     """Carry out commands that come as lines of JSON, one answer a line, until the input ends."""
     came = bytearray()
