Restart members of a small pool again and again in long plays of the model

Cause: a play of an hour at 150 nodes asked for more restarts than there are nodes and did not begin.

--- a/reelusher/lab/capacity/fleet.py
+++ b/reelusher/lab/capacity/fleet.py
@@ -459,10 +459,12 @@
         self.line.call_later(gap_s(), again)
 
     def restarts(self, until_s: float, gap_s: float) -> None:
-        """Restart nodes one by one until a time; they are no longer steady."""
+        """Restart nodes one by one until a time, but no control members; they are no longer steady."""
         count = int((until_s - self.line.now) / gap_s)
-        chosen = self.random.sample(range(len(CONTROL), len(self.nodes)), count)
-        self.steady -= set(chosen)
+        others = range(len(CONTROL), len(self.nodes))
+        pool = self.random.sample(others, min(count, len(others) // 4))
+        self.steady -= set(pool)
+        chosen = pool + self.random.choices(pool, k=count - len(pool)) if pool else []
         for number, index in enumerate(chosen):
             self.line.call_later((number + self.random.random()) * gap_s, self.restart, self.nodes[index])
 
