--- a/reelusher/lab/capacity/roles.py
+++ b/reelusher/lab/capacity/roles.py
@@ -206,7 +206,7 @@
         Missing("placing tenants on parts of the fleet", lambda: 2,
                 "a node knows the keys that it has seen itself: a repeat that comes to another of two runs "
                 "again; of a tenant's [[derived.tenant_requests_per_s]] each node gets one in "
-                "[[derived.tenant_returns_s]], so shares, guarantees and kept results say nothing of the whole",
+                "[[derived.tenant_returns_s]], so shares, guarantees and results tell nothing of the whole",
                 "rendezvous over the live members, a few nodes a tenant; it needs the table on all first"),
         Missing("callers' subsets", lambda: MOST_CONNECTIONS / ratio("callers", "nodes"),
                 "each caller at each node: [[derived.callers_per_node]] connections for each node of the "
