--- a/tests/test_replicated_api.py
+++ b/tests/test_replicated_api.py
@@ -637,6 +637,38 @@
     kept.close()
 
 
+def test_a_writer_that_is_killed_has_lost_nothing_that_it_acknowledged(tmp_path: Path) -> None:
+    (admin,) = free_places(1)
+    told = config(tmp_path, "c1", [], admin={"listen": "{}:{}".format(*admin), "token": TOKEN},
+                  replication={"copy": str(tmp_path / "c1.db"), "control": ["c1"]})
+    del told["fleet"]
+    tags: dict[str, str] = {}
+    for round_ in range(2):
+        with process(tmp_path, told) as made, contextlib.ExitStack() as stack:
+            assert soon(lambda: reachable(admin)), (tmp_path / "log").read_text()
+            killer = threading.Timer(0.3 + 0.2 * round_, made.kill)
+            killer.start()
+            stack.callback(killer.join)
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                while True:
+                    name = f"r{round_}-{len(tags)}"
+                    status, _, headers = called(admin, "POST", "/v1/tenants", tenant(name))
+                    assert status == 201
+                    tags[name] = headers["etag"]
+        copy = LocalCopy(tmp_path / "c1.db", "", ["c1"])
+        rows = {row.name: f'"{row.epoch}.{row.revision}"' for row in copy.page("", 10_000)}
+        copy.close()
+        assert tags.items() <= rows.items() and len(rows) - len(tags) <= round_ + 1
+        assert len(set(rows.values())) == len(rows) and not copy.put_aside
+    assert len(tags) > 10
+
+
+def reachable(place: Address) -> bool:
+    with contextlib.suppress(OSError), socket.create_connection(place, 1.0):
+        return True
+    return False
+
+
 def test_a_copy_takes_no_more_descriptors_than_are_counted_for_it(tmp_path: Path) -> None:
     def held() -> int:
         return sum(str(tmp_path) in os.path.realpath(path) for path in Path("/proc/self/fd").iterdir())
