--- a/reelusher/lab/capacity/books.py
+++ b/reelusher/lab/capacity/books.py
@@ -93,6 +93,7 @@
         self.counts: Counter[str] = Counter()
         self.away: dict[str, list[Span]] = {}  # by node
         self.cuts: dict[str, list[Span]] = {}
+        self.slowest: list[tuple[float, str]] = []  # changes: how long each took, and which
         self.spoilt: set[str] = set()  # tenants that have broken a rule which leaves open how they stand
 
     def history(self, name: str) -> History:
@@ -282,12 +283,16 @@
             for number, step in enumerate(history.steps):
                 later = history.steps[number + 1].shown_s if number + 1 < len(history.steps) else {}
                 took_s = [
-                    max(0.0, at_s - step.acked_s) for node in nodes
+                    (max(0.0, at_s - step.acked_s), node) for node in nodes
                     if step.acked_s is not None and (at_s := step.shown_s.get(node)) is not None
                     and not self.disturbed(node, step.acked_s, at_s)
                     # a node that shows no row may never have shown the one before: that tells nothing
                     and (step.row is not None or later.get(node) != at_s)]
                 if number and took_s and step.acked_s is not None:
-                    away = self.disturbed(writer_of[name], step.begun_s, step.acked_s + max(took_s))
-                    found["writer_away" if away else "calm"].append(max(took_s))
+                    longest_s, node = max(took_s)
+                    away = self.disturbed(writer_of[name], step.begun_s, step.acked_s + longest_s)
+                    found["writer_away" if away else "calm"].append(longest_s)
+                    self.slowest.append((round(longest_s, 3), f"{step.op} of {name}, answered at "
+                                         f"{step.acked_s:.3f}, written by {writer_of[name]}, last at {node}"))
+        self.slowest = sorted(self.slowest, reverse=True)[:5]
         return found
--- a/reelusher/lab/capacity/live.py
+++ b/reelusher/lab/capacity/live.py
@@ -663,6 +663,7 @@
         times = self.books.in_force(self.names, self.writer_of)
         told = {f"in_force_{kind}": percentiles(found) for kind, found in times.items()}
         self.figures |= {**self.broke, **self.books.counts, **told, "after_cut": percentiles(self.healed_s),
+                         "slowest": self.books.slowest,
                          "rig_late_s": round(self.late_s, 3)}
 
 
