--- a/reelusher/tenancy/paging.py
+++ b/reelusher/tenancy/paging.py
@@ -95,6 +95,7 @@
 class Load:
     """A tenant that is being read."""
 
+    row: Row | None = None  # as it was read with the table of its host, if nothing has changed since
     stale: bool = False  # it has changed since
     done: threading.Event = field(default_factory=threading.Event)
 
@@ -137,6 +138,7 @@
         self._lock = threading.Lock()  # never held while something is read or waited for
         self._residents: OrderedDict[str, Resident] = OrderedDict()  # what was used or looked at last, last
         self._loads: dict[str, Load] = {}
+        self._looks: dict[str, threading.Event] = {}  # hosts whose tables are being read
         self._tables: OrderedDict[str, Table | None] = OrderedDict()  # None: more prefixes than are kept
         self._hosts_of: dict[str, set[str]] = {}  # hosts whose tables name a tenant
         self._changes = 0  # that were heard of
@@ -166,10 +168,11 @@
         """
         until_us = self._now_us() + int(TRIES_S * 1e6)
         for _ in range(TRIES):
-            name = self._name(host, path)
+            changes = self._changes
+            name, row = self._name(host, path, until_us)
             if name is None:
                 return None
-            found = self._pinned(name, load, until_us)
+            found = self._pinned(name, load, until_us, row, changes)
             if found is not None:
                 return found
             self._drop_tables([host])  # it names a tenant that is gone
@@ -184,24 +187,47 @@
             resident.uses += 1
             resident.used_us = self._now_us()
 
-    def _name(self, host: str, path: str) -> str | None:
-        with self._lock:
-            if host in self._tables:
-                self._tables.move_to_end(host)
-                known, there = self._tables[host], True
-            else:
-                known, there = None, False
-                changes = self._changes
-        if not there:
-            rows = self._read(lambda: self._source.prefixes(host, FEW_PREFIXES))
-            known = None if rows is None else table_of(rows)
+    def _name(self, host: str, path: str, until_us: int) -> tuple[str | None, Row | None]:
+        """Return whose a request is, and the row where that was read as well."""
+        for _ in range(TRIES):
+            if self._now_us() > until_us:
+                break
             with self._lock:
-                if changes == self._changes:
-                    self._keep(host, known)
-        if known is not None:
-            return known.find(path)
-        row = self._read(lambda: self._source.match(host, path))
-        return None if row is None else row.name
+                if host in self._tables:
+                    self._tables.move_to_end(host)
+                    table = self._tables[host]
+                    if table is not None:
+                        return table.find(path), None
+                    break
+                under_way = self._looks.get(host)
+                if under_way is None:
+                    mine, changes = threading.Event(), self._changes
+                    self._looks[host] = mine
+            if under_way is not None:  # the table may be there after that
+                if not under_way.wait(self._wait_s):
+                    raise Unserved(f"the table of {host!r} was not read in time")
+                continue
+            try:
+                table, row = self._read(lambda: self._look(host, path))
+                with self._lock:
+                    if changes == self._changes:
+                        self._keep(host, table)
+            finally:
+                with self._lock:
+                    del self._looks[host]
+                mine.set()
+            return (row.name if row else None) if table is None else table.find(path), row
+        found = self._read(lambda: self._source.match(host, path))
+        return None if found is None else found.name, found
+
+    def _look(self, host: str, path: str) -> tuple[Table | None, Row | None]:
+        """Read the table of a host, and the row of whose a request is."""
+        rows = self._source.prefixes(host, FEW_PREFIXES)
+        if rows is None:
+            return None, self._source.match(host, path)
+        table = table_of(rows)
+        name = table.find(path)
+        return table, None if name is None or name in self._residents else self._source.get(name)
 
     def _keep(self, host: str, table: Table | None) -> None:
         """Keep a host's table; with the lock held."""
@@ -225,8 +251,13 @@
             for host in hosts:
                 self._forget(host)
 
-    def _pinned(self, name: str, load: Callable[[str, Load], bool], until_us: int) -> Resident | None:
-        """Return a tenant, pinned, after it has been read where it must be; None: there is none."""
+    def _pinned(self, name: str, load: Callable[[str, Load], bool], until_us: int, row: Row | None,
+                changes: int) -> Resident | None:
+        """Return a tenant, pinned, after it has been read where it must be; None: there is none.
+
+        `row` was read when so many changes had been heard of. What is committed before that is in it, and of
+        what comes after it the load hears.
+        """
         for _ in range(TRIES):
             if self._now_us() > until_us:
                 break
@@ -240,7 +271,7 @@
                     return resident
                 under_way = self._loads.get(name)
                 if under_way is None:
-                    mine = self._loads[name] = Load()
+                    mine = self._loads[name] = Load(row if changes == self._changes else None)
             if under_way is not None:
                 if not under_way.done.wait(self._wait_s):
                     raise Unserved(f"{name!r} was not read in time")
--- a/reelusher/tenancy/registry.py
+++ b/reelusher/tenancy/registry.py
@@ -282,7 +282,7 @@
         """Read a tenant and have the owner put it in memory; False: there is none, or it changed."""
         source = self._source
         assert source is not None
-        row = self._readers.read(lambda: source.get(name))
+        row = load.row or self._readers.read(lambda: source.get(name))
         if row is None:
             return False
         entry = self._entry_of(row)
--- a/tests/test_paging.py
+++ b/tests/test_paging.py
@@ -274,13 +274,22 @@
         copy.close()
 
 
-def test_two_threads_that_want_a_tenant_wait_for_one_read(world: World) -> None:
+@pytest.mark.parametrize("known_host", [False, True])
+def test_two_threads_that_want_a_tenant_wait_for_one_read(world: World, known_host: bool) -> None:
     world.rows.put(on("a"), tell=False)
+    if known_host:
+        assert world.find()
+        world.pass_s(14)
+        assert len(world.pager) == 0
+        world.rows.calls.clear()
+        while world.rows.reached.acquire(blocking=False):
+            pass
     world.rows.held.clear()
     doing = [world.begin(lambda: world.tenants.match("GET", "h", "/"))]
     assert world.rows.reached.acquire(timeout=WAIT_S)
     doing.append(world.begin(lambda: world.tenants.match("GET", "h", "/")))
-    assert soon(lambda: bool(world.pager._loads["a"].done._cond._waiters))  # type: ignore[attr-defined]
+    event: Any = world.pager._loads["a"].done if known_host else world.pager._looks["h"]
+    assert soon(lambda: bool(event._cond._waiters))
     world.rows.held.set()
     found = [world.end(one) for one in doing]
     assert found[0] == found[1] and found[0].tenant.name == "a" and world.rows.calls["get"] == 1
