Read what members are given by a connection of its own, and tell that a fresh node is filling

Members that are given pieces took the connections that fronts look up tenants by. A node that had not heard anybody yet, or had heard and not pulled, told of no tenant as if there were none.

--- a/reelusher/fleet/replication/copy.py
+++ b/reelusher/fleet/replication/copy.py
@@ -17,8 +17,8 @@
 pulled may be lost by a power cut (`NORMAL`), together with the position that told of it, and is pulled again.
 A kill of the process loses neither.
 
-All calls may come from any thread. One connection writes; a few read, and who finds none free within
-`READ_WAIT_S` gets `Broken`.
+All calls may come from any thread. One connection writes, one reads what members are given, a few all else;
+who finds none free within `READ_WAIT_S` or `GIVE_WAIT_S` gets `Broken`.
 """
 
 import contextlib
@@ -42,8 +42,8 @@
 
 APPLICATION = 0x7265656C  # what the header says of a copy
 FORMAT = 1
-READERS = 3  # connections
-READ_WAIT_S = 0.25
+READERS = 3  # connections for look-ups, beside one for what members are given
+READ_WAIT_S, GIVE_WAIT_S = 0.25, 1.0
 BUSY_MS = 2000  # for which one connection waits for another: only while a file is put aside
 CACHE_KB = 1024, 192  # of the connection that writes, and of each that reads
 LOG_BYTES = 8 << 20  # to which the log is cut after a checkpoint
@@ -188,6 +188,7 @@
         self.on_change: Callable[[list[str]], None] = lambda names: None
         self._lock = threading.RLock()  # of the connection that writes
         self._free: queue.LifoQueue[sqlite3.Connection] = queue.LifoQueue()
+        self._giving: queue.LifoQueue[sqlite3.Connection] = queue.LifoQueue()
         self._conn: sqlite3.Connection | None = None
         self._sync = ""
         self.damaged = ""  # why, from then on until it is renewed
@@ -234,10 +235,10 @@
             self._conn = self._connected(CACHE_KB[0])
             self._prepare(self._conn, lost)
             self._look_over(self._conn)
-            for _ in range(READERS):
+            for pool in (*[self._free] * READERS, self._giving):
                 reader = self._connected(CACHE_KB[1])
                 reader.execute("PRAGMA query_only = 1")
-                self._free.put(reader)
+                pool.put(reader)
 
     def _prepare(self, conn: sqlite3.Connection, lost: bool) -> None:
         begun = conn.execute("PRAGMA application_id").fetchone()[0]
@@ -289,11 +290,11 @@
 
     def _shut(self) -> None:
         """Close what nobody uses; a connection in use is closed by whoever lets go of it last."""
-        free, self._free = self._free, queue.LifoQueue()
-        with contextlib.suppress(queue.Empty):
-            for _ in range(READERS if self._conn is not None else 0):
-                with contextlib.suppress(sqlite3.Error):
-                    free.get(timeout=READ_WAIT_S).close()
+        pools = [self._free] * READERS + [self._giving]
+        self._free, self._giving = queue.LifoQueue(), queue.LifoQueue()
+        for pool in pools if self._conn is not None else ():
+            with contextlib.suppress(queue.Empty, sqlite3.Error):
+                pool.get(timeout=READ_WAIT_S).close()
         if self._conn is not None:
             with contextlib.suppress(sqlite3.Error):
                 self._conn.close()
@@ -374,12 +375,12 @@
             self._totals = self._made
 
     @contextmanager
-    def _reading(self) -> Iterator[sqlite3.Connection]:
+    def _reading(self, giving: bool = False) -> Iterator[sqlite3.Connection]:
         if self.damaged:
             raise Damaged(f"{self.path}: {self.damaged}")
-        free = self._free
+        free = self._giving if giving else self._free
         try:
-            conn = free.get(timeout=READ_WAIT_S)
+            conn = free.get(timeout=GIVE_WAIT_S if giving else READ_WAIT_S)
         except queue.Empty:
             raise Broken(f"{self.path}: too many read at once") from None
         try:
@@ -418,7 +419,7 @@
 
     def given(self, stream: str, since: int, most_bytes: int = MOST_PIECE) -> Given | None:
         """Return entries past a number, and where the stream stands at that instant."""
-        with self._reading() as conn:
+        with self._reading(giving=True) as conn:
             conn.execute("BEGIN")
             try:
                 state = self._read_states(conn, stream).get(stream)
--- a/reelusher/fleet/replication/service.py
+++ b/reelusher/fleet/replication/service.py
@@ -19,7 +19,7 @@
 from reelusher.fleet.replication.messages import EntriesReply, EntriesRequest
 from reelusher.fleet.replication.rows import Broken
 from reelusher.fleet.replication.streams import KEPT_S, Replica, Taken
-from reelusher.fleet.replication.writer import Writer
+from reelusher.fleet.replication.writer import SETTLE_S, Writer
 
 T = TypeVar("T")
 LOOK_S = 1.0  # between rounds of upkeep
@@ -64,7 +64,8 @@
         self._stop = threading.Event()
         self._pull = threading.Event()  # somebody is ahead
         self._upkeep = threading.Event()  # somebody waits for copies
-        now = time.monotonic()
+        now = self._began_s = time.monotonic()
+        self._fresh = fleet is not None  # as far as is known
         self._zones_s = now - ZONES_S
         self._collect_s = now + random.uniform(*COLLECT_S)
         self._check_s = now + random.uniform(0.01, 1.0) * CHECK_S[0]
@@ -105,7 +106,9 @@
 
     def filling(self) -> bool:
         """Tell whether rows are missing that others were seen to have: a name not found may yet come."""
-        return self.replica.filling()
+        now = time.monotonic()
+        self._fresh = self._fresh and now - self._began_s < SETTLE_S and self.replica.fresh()
+        return self._fresh or self.replica.filling(now)
 
     def _live(self) -> list[Update]:
         return self._fleet.live() if self._fleet is not None else []
--- a/reelusher/fleet/replication/streams.py
+++ b/reelusher/fleet/replication/streams.py
@@ -273,10 +273,15 @@
             return None
         return known[0]
 
-    def filling(self) -> bool:
-        """Tell whether rows may be missing that others have: a name that is not found may yet come."""
-        return any(state.cursor >= 0 or state.goal > state.number or (
-            state.lost and not state.number and not self._level) for state in self.states.values())
+    def filling(self, now: float) -> bool:
+        """Tell whether many rows may be missing that others have: a name not found may yet come."""
+        return any(state.cursor >= 0 or state.goal > state.number or not state.number and (
+            state.lost and not self._level or self.claimed(stream, now) is not None)
+            for stream, state in self.states.items())
+
+    def fresh(self) -> bool:
+        """Tell whether nothing was ever taken, nor anybody heard who has nothing either."""
+        return not self._level and not any(state.number for state in self.states.values())
 
     # Pulling
 
--- a/tests/test_local_copy.py
+++ b/tests/test_local_copy.py
@@ -224,8 +224,12 @@
     held = [copy._free.get() for _ in range(copying.READERS)]
     with pytest.raises(Broken, match="too many"):
         copy.get("a")
+    assert copy.given("c1", 0) is not None  # members are given all the same
     copy._free.put(held[0])
     assert copy.get("a") is not None
+    giving = copy._giving.get()
+    assert copy.get("a") is not None  # and whoever is given much keeps no request waiting
+    copy._giving.put(giving)
 
 
 def test_many_threads_read_while_one_writes(copy: LocalCopy) -> None:
--- a/tests/test_replication_service.py
+++ b/tests/test_replication_service.py
@@ -410,7 +410,9 @@
         writes(c1, "c1", entry(name, pad="y" * 4000))
     assert soon(lambda: n1.copy.count() == 40)
     n2 = start("n2", n1)
-    assert soon(lambda: n2.copy.count() == 40, 15)
+    before = n2.copy.count()
+    assert n2.replication.filling() or before == 40  # a name that is not found there may yet come
+    assert soon(lambda: n2.copy.count() == 40, 15) and soon(lambda: not n2.replication.filling())
     row = n2.copy.get(C1[0])
     assert row is not None and row.tenant == large.tenant
 
@@ -429,7 +431,7 @@
     spoil(n1.copy.path)
     assert not n1.copy.check() and n1.copy.damaged
     assert soon(lambda: not n1.copy.damaged and n1.copy.count() == 40, 15)
-    assert not n1.replica.states["c1"].lost and soon(lambda: not n1.replica.filling())
+    assert not n1.replica.states["c1"].lost and soon(lambda: not n1.replication.filling())
     assert n1.counters.snapshot()["replication.copies_damaged"] == 1
     writes(c1, "c1", entry(C1[0], pad="after"))
     assert soon(lambda: n1.replica.announce() == c1.replica.announce())
@@ -461,6 +463,31 @@
     assert c1.copy.match(f"{C1[0]}.example", "/") is not None
 
 
+def test_a_node_is_filling_until_it_has_what_it_heard_of_and_alone_for_a_bounded_time(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    class Deaf:
+        serve: dict[type, Callable[..., object]] = {}
+
+    fleet = Replicas(1)
+    fleet.change(C1[0])
+    replica, now = Replica("n2", CONTROL, MemoryRows(), Random(1)), time.monotonic()
+    node = Replication(None, replica, Deaf(), Random(1), Counters())  # type: ignore[arg-type]
+    assert node.filling()  # nobody was heard yet
+    replica.heard("c1", "", list(fleet.all["c1"].announce()), now)
+    assert node.filling()
+    pull = replica.next_pull(now + 1)
+    assert pull is not None
+    replica.take(pull, fleet.all["c1"].asked(pull.request, now), now + 1)
+    assert not node.filling() and replica.announce() == fleet.all["c1"].announce()
+    replica = Replica("n3", CONTROL, MemoryRows(), Random(1))
+    alone = Replication(None, replica, Deaf(), Random(1), Counters())  # type: ignore[arg-type]
+    assert alone.filling()
+    monkeypatch.setattr(serving, "SETTLE_S", 0.0)
+    assert not alone.filling()
+    single = Replication(None, replica, None, Random(1), Counters())  # type: ignore[arg-type]
+    assert not single.filling()
+
+
 def test_a_copy_that_can_not_be_read_gives_nothing_and_is_told_of() -> None:
     class Broke(MemoryRows):
         def given(self, stream: str, since: int, most_bytes: int = 0) -> None:
