--- a/reelusher/fleet/replication/streams.py
+++ b/reelusher/fleet/replication/streams.py
@@ -53,6 +53,7 @@
 GIVEN_BYTES = 20 * MOST_PIECE, 40 * MOST_PIECE  # that a replica gives in a second, and at once
 GIVEN_REPLIES = 50.0, 50.0  # the same of replies: most bring one change
 CLAIM_S = 30.0  # for which it counts that someone was heard to have more of a stream than its holder
+MUCH = 100  # changes of a stream: who has none of it and heard of more is filling; fewer are in force at once
 KEPT_S = 7 * 86_400.0  # tombstones
 
 
@@ -276,9 +277,13 @@
     def filling(self, now: float) -> bool:
         """Tell whether many rows may be missing that others have: a name not found may yet come."""
         return any(state.cursor >= 0 or state.goal > state.number or not state.number and (
-            state.lost and not self._level or self.claimed(stream, now) is not None)
+            state.lost and not self._level or self._claimed_much(stream, now))
             for stream, state in self.states.items())
 
+    def _claimed_much(self, stream: str, now: float) -> bool:
+        claimed = self.claimed(stream, now)
+        return claimed is not None and claimed.number > MUCH
+
     def fresh(self) -> bool:
         """Tell whether nothing was ever taken, nor anybody heard who has nothing either."""
         return not self._level and not any(state.number for state in self.states.values())
--- a/tests/test_replication_service.py
+++ b/tests/test_replication_service.py
@@ -17,6 +17,7 @@
 from reelusher.fleet.membership.service import Membership
 from reelusher.fleet.replication import census as counting
 from reelusher.fleet.replication import service as serving
+from reelusher.fleet.replication import streams
 from reelusher.fleet.replication.census import Census
 from reelusher.fleet.replication.copy import LocalCopy
 from reelusher.fleet.replication.messages import MOST_TENANT, EntriesReply, EntriesRequest, Entry
@@ -469,11 +470,17 @@
         serve: dict[type, Callable[..., object]] = {}
 
     fleet = Replicas(1)
-    fleet.change(C1[0])
     replica, now = Replica("n2", CONTROL, MemoryRows(), Random(1)), time.monotonic()
     node = Replication(None, replica, Deaf(), Random(1), Counters())  # type: ignore[arg-type]
     assert node.filling()  # nobody was heard yet
     replica.heard("c1", "", list(fleet.all["c1"].announce()), now)
+    assert not node.filling()  # nobody has anything
+    fleet.change(C1[0])
+    replica.heard("c1", "", list(fleet.all["c1"].announce()), now)
+    assert not node.filling()  # the first change is no fill
+    for number in range(streams.MUCH):
+        fleet.change(C1[0], pad=number)
+    replica.heard("c1", "", list(fleet.all["c1"].announce()), now)
     assert node.filling()
     pull = replica.next_pull(now + 1)
     assert pull is not None
