--- a/reelusher/fleet/replication/service.py
+++ b/reelusher/fleet/replication/service.py
@@ -189,6 +189,8 @@
             self._tell(Broken(taken.broken))
 
     def _tell(self, error: Broken) -> None:
+        if self._stop.is_set():  # the copy is closed: whoever is late finds it so
+            return
         self._counters.warn("replication.copy_failed", "replication: the copy failed: {}", error)
 
     # The thread of upkeep
