Refuse requests of a tenant that this node can't serve, rather than hand them to another

Cause: the local copy took a row that a node can't read out of the look-up by hosts, so its requests went to a tenant that names no hosts, if there is one. Change: such a row keeps its place; who finds it refuses (503). Where not even its hosts can be read it has none.

--- a/reelusher/fleet/replication/copy.py
+++ b/reelusher/fleet/replication/copy.py
@@ -495,7 +495,7 @@
             self._made.guarantee += guarantee
             if reason:
                 conn.execute("INSERT INTO unreadable VALUES(?, ?)", (entry.name, reason))
-            elif placed is not None:
+            if placed is not None:  # also where it can't be served: its requests are no other tenant's
                 self._place(conn, entry.name, placed[0], placed[1])
         if trail:
             conn.execute("INSERT INTO audit VALUES(NULL, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)", (
@@ -527,9 +527,10 @@
             return
         self._made.count -= 1
         self._made.guarantee -= guarantee
-        if not conn.execute("DELETE FROM unreadable WHERE name = ?", (name,)).rowcount:
-            hosts, prefix, _ = _placed(state, tenant) or _NOWHERE
-            self._displace(conn, name, hosts, prefix)
+        conn.execute("DELETE FROM unreadable WHERE name = ?", (name,))
+        placed = _placed(state, tenant)
+        if placed is not None:
+            self._displace(conn, name, placed[0], placed[1])
 
     def _drop(self, conn: sqlite3.Connection, at: int, generation: int) -> list[str]:
         """Let rows go that a refill did not meet."""
@@ -709,9 +710,6 @@
                     conn.execute("DELETE FROM unreadable WHERE name = ?", (name,))
                 if reason:
                     conn.execute("INSERT INTO unreadable VALUES(?, ?)", (name, reason))
-                if bool(reason) == bool(before):
-                    continue
-                (self._displace if reason else self._place)(conn, name, placed[0], placed[1])
             upto = rows[-1][0] if len(rows) == limit else None
             conn.executemany("UPDATE meta SET value = ? WHERE key = ?",
                              [(by, "checked_by"), (upto, "checked_upto")])
