Hold a node to refusing requests of a tenant that it can't serve

Cause: the test of such a row took 'no tenant' for not served; it is refused with its reason now, which the test holds.

--- a/tests/test_replicated_api.py
+++ b/tests/test_replicated_api.py
@@ -422,7 +422,9 @@
     assert nodes.call("n1", "POST", "/v1/tenants", tenant(C2[0], backend="w2"))[0] == 201
     assert soon(lambda: nodes.serves("c1", C2[0])) and nodes.follows("n1", "c2")
     told = nodes.call("n1", "GET", f"/v1/tenants/{C2[0]}")[1]
-    assert "backend" in told["unreadable"] and not nodes.serves("n1", C2[0])
+    assert "backend" in told["unreadable"]
+    with pytest.raises(Unserved, match="can't be served"):
+        nodes.serves("n1", C2[0])
     told = nodes.call("n1", "GET", "/v1/fleet/changes")[1]["unreadable"]
     assert told["count"] == 1 and told["tenants"][0]["name"] == C2[0]
     assert nodes.call("c1", "GET", "/v1/fleet/changes")[1]["unreadable"]["count"] == 0
