Don't believe what one that was apart says of others' deaths

Cause: a rack that is away for 10 to 20 s finds others dead faster than its news goes round in it; back, it told the whole fleet of hundreds of deaths, which were taken, spread and refuted. Change: of one that is held for dead here only news of the living is taken, and what concerns this member; one that hears that it was held for dead drops its news of suspects and dead, and takes its suspicions back.

--- a/reelusher/fleet/membership/swim.py
+++ b/reelusher/fleet/membership/swim.py
@@ -448,7 +448,7 @@
     def _learn(self, said: Update, now: float) -> None:
         """Take a piece of news; what is new is sent on."""
         if said.place == self.own.place:
-            self._hear_of_self(said)
+            self._hear_of_self(said, now)
             return
         member = self.table.members.get(said.place)
         if member is not None and said.state is State.SUSPECT is member.said.state and (
@@ -473,7 +473,7 @@
             self._drop_suspicion(said.place)
             self._unheard.pop(said.place, None)
 
-    def _hear_of_self(self, said: Update) -> None:
+    def _hear_of_self(self, said: Update, now: float) -> None:
         """Refute what is wrong; whoever has to is in doubt of its own health."""
         if self.own.state is State.LEFT or not (said.beats(self.own) or said.state is not State.ALIVE):
             return
@@ -483,20 +483,34 @@
             return
         self.refuted += 1
         self._worse()
+        if said.state is State.DEAD:
+            self._take_back(now)
         self.own = replace(self.own, incarnation=said.incarnation + 1)
         self._spread(self.own)
 
+    def _take_back(self, now: float) -> None:
+        """Say no more of deaths, and suspect nobody: this member was apart, and blamed the others."""
+        for place, news in list(self._news.items()):
+            if news.said.state in (State.SUSPECT, State.DEAD):
+                del self._news[place]
+        for place in list(self._suspicions):
+            self._drop_suspicion(place)
+            self.table.clear(place, now)
+
     # What comes in
 
     def receive(self, message: Message, now: float) -> Said:
         """Take a datagram."""
         sender = self.table.members.get(message.sender)
-        if sender is not None and not sender.here and sender.said.state is State.DEAD:
+        apart = sender is not None and sender.said.state is State.DEAD
+        if apart:
             self.sync_with.add(message.sender)  # it lives: there is a side that this one has not heard of
         if message.vector:
             self.heard(message.sender, message.vector, now)
         for said in message.updates:
-            self._learn(said, now)
+            # Who was apart took all others for dead, and tells so for as long as it has news of it.
+            if not apart or said.state is State.ALIVE or said.place == self.own.place:
+                self._learn(said, now)
         match message.kind:
             case Kind.PING if self.own.state is not State.LEFT:
                 self._send(message.sender, Kind.ACK, message.seq)
--- a/reelusher/fleet/membership/table.py
+++ b/reelusher/fleet/membership/table.py
@@ -124,6 +124,13 @@
         member = self.members[place]
         self.members[place] = msgspec.structs.replace(member, accusers=(*member.accusers, accuser))
 
+    def clear(self, place: str, now: float) -> None:
+        """Take a suspect for alive again."""
+        member = self.members.get(place)
+        if member is not None and member.said.state is State.SUSPECT:
+            said = msgspec.structs.replace(member.said, state=State.ALIVE, accuser="")
+            self.members[place] = Member(said, now)
+
     def next_target(self) -> str | None:
         """Return whom to probe next: each once a round, in an order drawn anew for each."""
         if not self._order:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -407,6 +407,48 @@
     assert fleet.until(fleet.agreed, 20) < 5
 
 
+def test_a_few_that_were_apart_for_a_moment_do_not_have_all_others_taken_for_dead() -> None:
+    fleet = Members(60, 4)
+    few = set(list(fleet.swims)[:6])
+    fleet.run(3)
+    fleet.cut = apart(few)
+    fleet.run(6)  # they are still finding out who is left, and telling each other
+    assert all(fleet.holding_dead(place) > 50 for place in few)
+    fleet.cut = lambda source, target: False
+    deaths = fleet.deaths
+    assert fleet.until(fleet.agreed, 20) < 10
+    assert fleet.deaths - deaths < 60  # 279 where what they tell of deaths is believed
+
+
+def test_what_one_that_is_held_for_dead_says_of_others_is_not_taken_but_for_who_lives() -> None:
+    swim = Swim(said(1), Random(1), 0.0)
+    swim.merge([said(2), said(3), said(2, 1, State.LEFT)], 0.0)
+    swim.receive(Message(Kind.GOSSIP, "127.0.0.1:3", updates=[said(4, 1, State.DEAD)]), 0.1)
+    assert swim.table.members["127.0.0.1:4"].said.state is State.DEAD
+    heard = [said(3, 1, State.DEAD), said(5), said(6)]
+    swim.receive(Message(Kind.GOSSIP, "127.0.0.1:5", updates=heard), 0.2)
+    swim.receive(Message(Kind.GOSSIP, "127.0.0.1:3", updates=[
+        said(5, 1, State.DEAD), said(6, 1, State.SUSPECT), said(7), said(1, 1, State.SUSPECT)]), 0.3)
+    assert {place[-1]: member.said.state.name for place, member in swim.table.members.items()} == {
+        "2": "LEFT", "3": "DEAD", "4": "DEAD", "5": "ALIVE", "6": "ALIVE", "7": "ALIVE"}
+    assert swim.own.incarnation == 2  # what concerns itself it refutes
+
+
+def test_one_that_hears_that_it_was_held_for_dead_takes_back_whom_it_suspects() -> None:
+    swim = Swim(said(1), Random(1), 0.0)
+    swim.merge([said(2), said(3), said(4)], 0.0)
+    swim.quiet()
+    swim.receive(Message(Kind.GOSSIP, "127.0.0.1:2", updates=[
+        said(3, 1, State.SUSPECT, "127.0.0.1:2"), said(4, 1, State.DEAD)]), 0.1)
+    swim.receive(Message(Kind.GOSSIP, "127.0.0.1:2", updates=[said(1, 1, State.DEAD)]), 0.2)
+    assert swim.table.members["127.0.0.1:3"].said.state is State.ALIVE
+    assert swim.table.members["127.0.0.1:4"].said.state is State.DEAD
+    told = {(one.place, one.state) for to, message in swim.tick(0.4).out for one in message.updates
+            if to != "127.0.0.1:4"}  # whom it concerns is told in any case
+    assert told == {("127.0.0.1:1", State.ALIVE)}
+    assert swim.next_s() < 0.4 + PERIOD_S
+
+
 # What is refused
 
 
