--- a/reelusher/lab/capacity/roles.py
+++ b/reelusher/lab/capacity/roles.py
@@ -136,7 +136,8 @@
         "[[fleet/day-3600.changes]] changes", "8, 16",
         "announced and pulled", WORKS, "`fleet/day-3600`"),
     Row("bytes a second sent by the control member that sends most",
-        "[[fleet/day-3600.sent_bytes_a_second_most]]", "none told", "nodes that pull send others on", WORKS, "`fleet/day-3600`"),
+        "[[fleet/day-3600.sent_bytes_a_second_most]]", "none told", "nodes that pull send others on",
+        WORKS, "`fleet/day-3600`"),
     Row("a region apart for an hour, on its return: all level, members agree, in s, at 100 members",
         "[[fleet/region-forgotten-100.all_level_after_return_s]], "
         "[[fleet/region-forgotten-100.members_agree_after_return_s]]", "16", "streams of each writer go on",
