--- a/reelusher/lab/capacity/budgets.py
+++ b/reelusher/lab/capacity/budgets.py
@@ -13,6 +13,7 @@
 PROBE_S = 30.0  # mean time between a node's tries at a worker that stays away: 20 to 40 s
 CONTAINER_MOST = 8192  # connections that a usual servlet container takes
 ROW_BYTES = 300  # of a tenant as a change carries it: the letter's figure
+IN_MEMORY = 8192  # tenants of a copy that a node has in memory at most
 ENTRY_BYTES = 47  # of a node in the list as JSON
 LINK_BYTES = 125e6  # a second, of a link of 1 Gbit/s
 
@@ -95,6 +96,9 @@
         "seconds until a tenant whose requests go to all nodes in turn is back at one",
         "nodes / tenant_requests_per_s", "s",
         lambda: expected("nodes") / ratio("requests_per_s", "tenants")),
+    "in_memory_s": Derived(
+        "seconds in which requests of all tenants in turn fill the places in memory",
+        "8,192 / node_requests_per_s", "s", lambda: IN_MEMORY / expected("node_requests_per_s")),
     "callers_per_node": Derived(
         "callers for each node, were each caller one node's", "callers / nodes", "",
         lambda: ratio("callers", "nodes")),
--- a/reelusher/lab/capacity/roles.py
+++ b/reelusher/lab/capacity/roles.py
@@ -95,7 +95,7 @@
         "a quarter of `node.memory_mb` for results", "windows end; results of the largest tenant go first",
         WORKS, "`keys-window`"),
     Row("accounts of tenants in use: each", "[[tenants-accounts.account_bytes@16000]]",
-        "[[expected.control_mb]]", "8,192 tenants in memory at most, let go when unused for 10 s", WORKS,
+        "[[expected.control_mb]]", "8,192 tenants in memory at most, let go once unused", WORKS,
         "`tenants-accounts`"),
     Row("counters of 260,000 tenants; the line that a drain ends with",
         "before: [[before/tenants-accounts.counter_bytes@tenants]] each, "
@@ -227,7 +227,10 @@
         Missing("placing tenants on parts of the fleet", lambda: 2,
                 "a node knows the keys that it has seen itself: a repeat that comes to another of two runs "
                 "again; of a tenant's [[derived.tenant_requests_per_s]] each node gets one in "
-                "[[derived.tenant_returns_s]], so shares, guarantees and results tell nothing of the whole",
+                "[[derived.tenant_returns_s]], so shares, guarantees and results tell nothing of the whole, and "
+                "no tenant is still in memory, whose places are filled in [[derived.in_memory_s]]: each "
+                "request reads the copy, at [[tenants-node-copy.cold_request_us@260000]] in place of "
+                "[[tenants-node-copy.request_us@260000]] of processor time",
                 "rendezvous over the live members, a few nodes a tenant; it needs the table on all first"),
         Missing("callers' subsets", lambda: MOST_CONNECTIONS / ratio("callers", "nodes"),
                 "each caller at each node: [[derived.callers_per_node]] connections for each node of the "
