Tell on the page what the design had to show, met or not

Change: rows of the fleet's plays beside those of nodes; what falls beside other load is said so. Measured: as on the page, from docs/capacity; tests/test_capacity.py and tests/test_docs.py passed.

--- a/reelusher/lab/capacity/page.py
+++ b/reelusher/lab/capacity/page.py
@@ -213,7 +213,7 @@
                             "missing": _missing(kept), "plays": _plays(plays)}
     both = {**kept, **plays, **{f"{BEFORE}/{name}": one for name, one in before.items()}}
     made["shown"] = _table(("wanted", "measured", "bound", "by"), [
-        (one.what, resolved(one.figure, both), one.budget, one.source) for one in SHOWN])
+        (resolved(one.what, both), resolved(one.figure, both), one.budget, one.source) for one in SHOWN])
     return {**made, **{f"role-{name}": _role(rows)(both) for name, rows in ROLES.items()}}
 
 
--- a/reelusher/lab/capacity/roles.py
+++ b/reelusher/lab/capacity/roles.py
@@ -138,10 +138,10 @@
     Row("bytes a second sent by the control member that sends most",
         "[[fleet/day-3600.sent_bytes_a_second_most]]", "none told", "nodes that pull send others on",
         WORKS, "`fleet/day-3600`"),
-    Row("a region apart for an hour, on its return: all level, members agree, in s, at 100 members",
-        "[[fleet/region-forgotten-100.all_level_after_return_s]], "
-        "[[fleet/region-forgotten-100.members_agree_after_return_s]]", "16", "streams of each writer go on",
-        WORKS, "`fleet/region-forgotten-100`"),
+    Row("a region apart for an hour, on its return: all level, members agree, in s, at 150 members",
+        "[[fleet/region-hour-150.all_level_after_return_s]], "
+        "[[fleet/region-hour-150.members_agree_after_return_s]]", "16", "streams of each writer go on",
+        PART, "`fleet/region-hour-150`; 3,600 not run"),
     Row("a change made durable in the copy, 260,000 rows", "[[tenants-copy.change_us@260000]]",
         "[[derived.change_every_s]]", "SQLite, synced", WORKS, "`tenants-copy`"),
     Row("of its own tenants, without replication: a change made durable, 64,000 in the journal",
@@ -191,7 +191,7 @@
         "arithmetic"),
 )
 _COPY, _FILE = "`tenants-node-copy`", "`tenants-node`"
-SHOWN = (  # what the design had to show, beside what plays of the whole fleet show
+SHOWN: tuple[Row, ...] = (  # what the design had to show, beside what plays of the whole fleet show
     Row("260,000 tenants in the copy: processor time of a request over that at 100",
         "[[tenants-node-copy.request_us@260000/100]], of tenants in use; of 2,000 that were not of late "
         "[[tenants-node-copy.cold_request_us@260000/100]]", "1.1 times", "", "", _COPY),
@@ -214,6 +214,20 @@
     Row("processor time of a request over that with 10",
         "[[tenants-node.request_us@20000/10]]; before, 5,000: [[before/tenants-node.request_us@5000/10]]",
         "1.25 times", "", "", _FILE),
+    Row("3,600 hollow nodes, the ordinary day: the slowest of [[fleet/day-3600.changes]] changes on 99.9 %, "
+        "on all that live, in s", "[[fleet/day-3600.to_999_permille_most_s]], [[fleet/day-3600.to_all_most_s]]",
+        "8, 16", "", "", "`fleet/day-3600`"),
+    Row("the same, a burst of [[fleet/burst-3600.changes]] in 10 s",
+        "[[fleet/burst-3600.to_999_permille_most_s]], [[fleet/burst-3600.to_all_most_s]]", "8, 16", "", "",
+        "`fleet/burst-3600`"),
+    Row("bytes a second that a node sends, in the mean: the ordinary day; in the half minute of the burst",
+        "[[fleet/day-3600.sent_bytes_a_second_mean]]; [[fleet/burst-3600.sent_bytes_a_second_mean]]", "3,000",
+        "", "", "both"),
+    Row("processor time in %, decisions and seals without sockets: the same two",
+        "[[fleet/day-3600.core_percent]]; [[fleet/burst-3600.core_percent]]", "3.5", "", "", "both"),
+    Row("a region apart for an hour with changes on both sides, 150 members: all have all after its return, "
+        "in s; nodes with other rows", "[[fleet/region-hour-150.all_level_after_return_s]]; "
+        "[[fleet/region-hour-150.nodes_with_other_rows]]", "16; 0", "", "", "`fleet/region-hour-150`"),
 )
 ROLES = {"node": NODE, "control": CONTROL, "list": LIST, "around": AROUND}
 
