--- a/reelusher/lab/capacity/roles.py
+++ b/reelusher/lab/capacity/roles.py
@@ -215,8 +215,9 @@
         "[[tenants-node.request_us@20000/10]]; before, 5,000: [[before/tenants-node.request_us@5000/10]]",
         "1.25 times", "", "", _FILE),
     Row("3,600 hollow nodes, the ordinary day: the slowest of [[fleet/day-3600.changes]] changes on 99.9 %, "
-        "on all that live, in s", "[[fleet/day-3600.to_999_permille_most_s]], [[fleet/day-3600.to_all_most_s]]",
-        "8, 16", "", "", "`fleet/day-3600`"),
+        "on all that live, in s",
+        "[[fleet/day-3600.to_999_permille_most_s]], [[fleet/day-3600.to_all_most_s]]", "8, 16", "", "",
+        "`fleet/day-3600`"),
     Row("the same, a burst of [[fleet/burst-3600.changes]] in 10 s",
         "[[fleet/burst-3600.to_999_permille_most_s]], [[fleet/burst-3600.to_all_most_s]]", "8, 16", "", "",
         "`fleet/burst-3600`"),
