--- a/reelusher/lab/capacity/roles.py
+++ b/reelusher/lab/capacity/roles.py
@@ -242,8 +242,8 @@
         Missing("placing tenants on parts of the fleet", lambda: 2,
                 "a node knows the keys that it has seen itself: a repeat that comes to another of two runs "
                 "again; of a tenant's [[derived.tenant_requests_per_s]] each node gets one in "
-                "[[derived.tenant_returns_s]], so shares, guarantees and results tell nothing of the whole, and "
-                "no tenant is still in memory, whose places are filled in [[derived.in_memory_s]]: each "
+                "[[derived.tenant_returns_s]], so shares, guarantees and results tell nothing of the whole, "
+                "and no tenant is still in memory, whose places are filled in [[derived.in_memory_s]]: each "
                 "request reads the copy, at [[tenants-node-copy.cold_request_us@260000]] in place of "
                 "[[tenants-node-copy.request_us@260000]] of processor time",
                 "rendezvous over the live members, a few nodes a tenant; it needs the table on all first"),
