Of three members that are ahead, ask the one that is ahead most

Change: three of those ahead are drawn, own zone first as before, and the one with the most numbers past the own is asked.

--- a/reelusher/fleet/replication/streams.py
+++ b/reelusher/fleet/replication/streams.py
@@ -48,6 +48,7 @@
 FAIL_S = 0.1, 5.0  # between tries where nobody who is ahead answers
 SHUN_S = 1.0, 30.0  # for which one is not asked that did not answer, or gave nothing of use
 AHEAD_S = 30.0  # for which it counts that someone was heard to be ahead
+CHOICES = 3  # members ahead that are drawn, of which the one that is ahead most is asked
 MOST_AHEAD = 32  # members ahead that are remembered
 MOST_LEVEL = 16  # members that are as far as this one
 GIVEN_BYTES = 20 * MOST_PIECE, 40 * MOST_PIECE  # that a replica gives in a second, and at once
@@ -240,6 +241,16 @@
                 return True
         return False
 
+    def _gain(self, vector: Sequence[int]) -> int:
+        """Return how many numbers a vector is ahead by, in all streams; a later epoch is ahead of any."""
+        own, gain = self._announced, 0
+        for at in range(1, len(own), 2):
+            if vector[at] > own[at]:
+                gain += 1 << 32
+            elif vector[at] == own[at] and vector[at + 1] > own[at + 1]:
+                gain += vector[at + 1] - own[at + 1]
+        return gain
+
     def heard(self, place: str, zone: str, vector: list[int], now: float) -> str:
         """Take what a member announces; return "", or a word for the counters where it is refused."""
         if vector == self._announced:
@@ -313,7 +324,8 @@
                                   default=inf)
                 return None
             near = [place for place in able if self._ahead[place].zone == self._zone]
-            place = self._random.choice(near or able)
+            drawn = self._random.sample(near or able, min(CHOICES, len(near or able)))
+            place = max(drawn, key=lambda one: self._gain(self._ahead[one].vector))
         states = [self.states[stream] for stream in self.control]
         vector = [self._digest]
         for state in states:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -171,6 +171,25 @@
     assert len(due) == 20 and 5 + JITTER_S[0] <= min(due) <= max(due) <= 5 + JITTER_S[1]
 
 
+def test_of_several_that_are_ahead_the_one_ahead_most_is_asked_and_a_later_epoch_is_further() -> None:
+    fleet = Replicas(4, None)
+    for number, name in enumerate(("n2", "n3")):
+        for _ in range(1 + 2 * number):
+            fleet.change(C1[0])
+        fleet.pull(name, "c1")
+    replica = fleet.all["n1"]
+    for name in ("n2", "n3", "n2"):
+        replica.heard(name, "", list(fleet.all[name].announce()), fleet.now)
+    pull = replica.next_pull(replica.due_s())
+    assert pull is not None and pull.place == "n3"
+    replica.failed(pull, fleet.now)
+    told = list(fleet.all["n2"].announce())
+    told[1] += 8  # a later term
+    replica.heard("n4", "", told, fleet.now)
+    pull = replica.next_pull(fleet.now + 10)
+    assert pull is not None and pull.place == "n4"
+
+
 def test_nobody_is_asked_who_is_level_behind_or_of_another_list(folder: Path | None) -> None:
     fleet = Replicas(1, folder)
     fleet.change(C1[0])
