--- a/reelusher/lab/capacity/fleet.py
+++ b/reelusher/lab/capacity/fleet.py
@@ -573,6 +573,12 @@
         "past_16_s_for_all": len(every) - bisect_left(every, 16.0)}
 
 
+def told(figures: dict[str, Any]) -> dict[str, Any]:
+    """Return figures as JSON has them: what did not come about in the play is null."""
+    return {name: told(figure) if isinstance(figure, dict) else None if figure == float("inf") else figure
+            for name, figure in figures.items()}
+
+
 def lost(fleet: Fleet) -> dict[str, int]:
     """Return how many live nodes lack a change or have another row than the holder at the end."""
     newest = {name: kept for node in fleet.nodes[:len(CONTROL)] for name, kept in node.rows.live().items()
@@ -703,7 +709,7 @@
     words = sys.argv[1:] if argv is None else argv
     made = {"name": given.name or given.play,
             "command": "python -m reelusher.lab.capacity.fleet " + " ".join(words), "size": given.size,
-            "zones": ZONES, "regions": REGIONS, "loss": LOSS, "figures": figures}
+            "zones": ZONES, "regions": REGIONS, "loss": LOSS, "figures": told(figures)}
     print(json.dumps(made, indent=1))
     if given.name:
         FOLDER.mkdir(parents=True, exist_ok=True)
--- a/tests/test_capacity_model.py
+++ b/tests/test_capacity_model.py
@@ -8,7 +8,7 @@
 
 from reelusher.fleet.membership.messages import Kind, Message, Seal
 from reelusher.lab.capacity import fleet
-from reelusher.lab.capacity.fleet import Fleet, Meter, lost, spread_figures
+from reelusher.lab.capacity.fleet import Fleet, Meter, lost, spread_figures, told
 
 
 def test_changes_are_everywhere_in_time_while_nodes_restart_and_a_rack_is_away() -> None:
@@ -71,6 +71,10 @@
     assert counted == pytest.approx(len(seal.close(message)), abs=2)
 
 
+def test_what_did_not_come_about_is_null_and_not_a_number() -> None:
+    assert told({"a": inf, "b": {"c": inf, "d": 1.5}}) == {"a": None, "b": {"c": None, "d": 1.5}}
+
+
 def test_a_play_is_written_with_its_command(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
                                             capsys: pytest.CaptureFixture[str]) -> None:
     monkeypatch.setattr(fleet, "FOLDER", tmp_path)
