--- a/reelusher/lab/capacity/roles.py
+++ b/reelusher/lab/capacity/roles.py
@@ -71,7 +71,7 @@
         "one core: 3.7, 3.1, 1.8 ms", "threads on blocking sockets, one owner", WORKS, "`request`"),
     Row("the same: added for 99 in 100",
         "[[request.added_p99_ms@272]], [[request.added_p99_ms@320]], [[request.added_p99_ms@544]]; in the "
-        "best of three rounds [[request.added_p99_ms@272~least]], [[request.added_p99_ms@320~least]], "
+        "best of five rounds [[request.added_p99_ms@272~least]], [[request.added_p99_ms@320~least]], "
         "[[request.added_p99_ms@544~least]]",
         "[[expected.added_ms]]", "the same", PART, "`request`"),
     Row("a connection of a caller, idle",
