--- a/reelusher/lab/capacity/copy.py
+++ b/reelusher/lab/capacity/copy.py
@@ -57,13 +57,13 @@
     return site.status_of(multiprocessing.current_process().pid or 0)["resident"]
 
 
-def _measure(size: int, folder: str, pipe: Any) -> None:
+def _filled(size: int, folder: str) -> Figures:
     path = Path(folder) / "tenants.db"
     began = time.monotonic()
     filled(path, size)
     fill_s = time.monotonic() - began
-    pipe.send({"fill_s": fill_s, "file_mb": sum(
-        one.stat().st_size for one in path.parent.glob("tenants.db*")) / 1e6})
+    return {"fill_s": fill_s, "file_mb": sum(
+        one.stat().st_size for one in path.parent.glob("tenants.db*")) / 1e6}
 
 
 def _opened(size: int, folder: str, pipe: Any) -> None:
@@ -115,9 +115,9 @@
 
 
 def copies(size: int) -> Figures:
-    """Measure a copy of so many rows: filled in one process, opened and used in another."""
+    """Measure a copy of so many rows: filled here, opened and used in a process of its own."""
     with tempfile.TemporaryDirectory() as folder:
-        return _apart(_measure, size, folder) | _apart(_opened, size, folder)
+        return _filled(size, folder) | _apart(_opened, size, folder)
 
 
 SCALES = [partial(Scale, of="tenants", target=expected("tenants"))(
