--- a/reelusher/lab/capacity/live.py
+++ b/reelusher/lab/capacity/live.py
@@ -570,9 +570,21 @@
             if number % EACH_RESTART == 3 and (up := self.up()):
                 self.spawn(self._restart(self.random.choice(up)))
             await self._one_kill(number)
-            await asyncio.sleep(self.proof.hollow * NEWS_S)
+            await self._news_told()
         self.figures["faults_s"] = round(self.loop.time() - began_s, 3)
 
+    async def _news_told(self) -> None:
+        """Wait until hollow members have had the time, by their clock, to tell each other of a kill."""
+        if self.hollow is None:
+            return
+        until_s = (await self._tell_hollow())["clock_s"] + self.proof.hollow * NEWS_S
+        ends_s = self.loop.time() + HOLLOW_S
+        while (await self._tell_hollow())["clock_s"] < until_s:
+            if self.loop.time() > ends_s:
+                self.books.broken.append(f"hollow members do not go on: {HOLLOW_S:.0f} s for one kill")
+                return
+            await asyncio.sleep(0.2)
+
     async def _one_kill(self, number: int) -> None:
         kind, before = KINDS[number % len(KINDS)], self.broke["kills"]
         loses_copy = bool(self.control) and number % EACH_LOSS == 4
