Tell on who had joined through a member that joins, and leave the rig's priority alone

A member that joins took all its news for told, also that of members who had joined through it before and whom the state that it joins by lacks: Swim.join called quiet(). Ruled out: the rig's priority, which made no difference. Change: only what that state has counts as told, and states are first compared 0.5 to 3 s after joining.

--- a/reelusher/fleet/membership/service.py
+++ b/reelusher/fleet/membership/service.py
@@ -33,6 +33,7 @@
 JOIN_BASE_S, JOIN_CAP_S = 0.2, 3.0  # between tries to join
 FULL_PART = 0.25  # of those that did not answer with digests are asked for a full state at once
 SYNC_S = 15.0, 30.0  # between comparisons with a member by chance, which mend what gossip has lost
+FIRST_S = 0.5, 3.0  # until the first after joining: of many that join at once, each was told of some
 SYNC_LEAST_S = 0.5, 1.5  # between exchanges that a found side asks for
 LOG_S = 1.0  # at most one line about changes in so long
 LOG_NAMES = 5  # named in it
@@ -408,7 +409,7 @@
             else:
                 self._counters.warn("fleet.unjoined", "fleet: nobody to join at {}, serving alone", asked)
                 self._stop.wait(backoff.next_s())
-        due_s = time.monotonic() + self._random.uniform(0.0, SYNC_S[1])
+        due_s = time.monotonic() + self._random.uniform(*FIRST_S)
         while not self._stop.is_set():
             self._poke.wait(max(0.0, due_s - time.monotonic()))
             self._poke.clear()
--- a/reelusher/fleet/membership/swim.py
+++ b/reelusher/fleet/membership/swim.py
@@ -558,9 +558,16 @@
         return self._took()
 
     def join(self, updates: Iterable[Update], now: float) -> Said:
-        """Take the full state of a member to join by: all of it is known to all but this one."""
-        said = self.merge(updates, now)
-        self.quiet()
+        """Take the full state of a member to join by: all of it is known to all but this one.
+
+        What it lacks is told on: others may have joined through this one before.
+        """
+        told = {one.place: one for one in updates}
+        said = self.merge(told.values(), now)
+        for place, news in list(self._news.items()):
+            known = told.get(place)
+            if known is not None and not news.said.beats(known):
+                del self._news[place]
         self._spread(self.own)
         return said
 
--- a/reelusher/lab/fleet/processes.py
+++ b/reelusher/lab/fleet/processes.py
@@ -62,7 +62,6 @@
     def __init__(self, plan: Plan, folder: Path) -> None:
         self.plan, self.folder, self.command = plan, folder, deployed("run")
         self.running: dict[str, subprocess.Popen[bytes]] = {}
-        self.nice = 0
         self.configs: dict[str, dict[str, Any]] = {}
         self.operators: dict[str, Path] = {}  # files of those that are members of a fleet
 
@@ -108,7 +107,6 @@
                     **os.environ, "PROXY_CONFIG": str(path),
                     **({"REELUSHER_OPERATOR": str(self.operators[name])} if name in self.operators else {})},
                 stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True)
-        os.setpriority(os.PRIO_PROCESS, self.running[name].pid, self.nice)  # not the rig's, see `rig.play`
 
     def send(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a node that runs."""
--- a/reelusher/lab/fleet/rig.py
+++ b/reelusher/lab/fleet/rig.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import itertools
-import os
 import random
 import resource
 import signal
@@ -25,7 +24,6 @@
 
 BEAT_S = 0.01
 STARVE_S = 0.02  # a starved node is stopped and continued within each such span
-AHEAD = -10  # of the rig's own priority before that of its nodes, where that is allowed
 SERVICES = "127.200.0.2"  # where the stand-ins listen, behind the relays
 PORTS, PORT_TRIES = (10_000, 32_000), 100
 FAULTS = ("Traceback", " ERROR ")  # words in a node's log that spoil a run
@@ -222,7 +220,6 @@
 
     async def work(where: Path) -> Account:
         rig = Rig(plan, where)
-        rig.processes.nice = own
         task = asyncio.current_task()
         assert task is not None
         with rig.processes:  # SIGTERM must end its processes as Ctrl-C does, else hundreds go on without it
@@ -230,11 +227,7 @@
             last_s = plan.run.wait_s + plan.run.seconds + plan.longest_s() + 60
             return await asyncio.wait_for(rig.play(), last_s)
 
-    own = os.getpriority(os.PRIO_PROCESS, 0)
     with contextlib.ExitStack() as stack:
-        with contextlib.suppress(PermissionError):  # hundreds that start at once would hold up the books
-            os.setpriority(os.PRIO_PROCESS, 0, own + AHEAD)
-            stack.callback(os.setpriority, os.PRIO_PROCESS, 0, own)
         where = folder or Path(stack.enter_context(tempfile.TemporaryDirectory()))
         where.mkdir(parents=True, exist_ok=True)
         try:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -141,6 +141,14 @@
     assert (swim.own.incarnation, swim.own.state) == (6, State.LEFT)
 
 
+def test_one_that_joins_tells_on_who_had_joined_through_it_and_not_what_it_is_told() -> None:
+    swim = Swim(said(1), Random(1), 0.0)
+    swim.merge([said(2), said(4, 2)], 0.0)  # these joined through it
+    swim.join([said(3), said(4, 1), said(5)], 0.1)
+    told = {update for _, message in swim.tick(0.5).out for update in message.updates}
+    assert {said(1), said(2), said(4, 2)} <= told and not told & {said(3), said(4, 1), said(5)}
+
+
 def test_a_full_state_makes_nobody_dead_who_lives_here_but_tells_whom_it_concerns() -> None:
     swim = Swim(said(1), Random(1), 0.0)
     swim.merge([said(2), said(3)], 0.0)
