Run the ramp of 24 cold processes behind all other tests, as the starts of thirty are

Cause: the rig has no priority over its nodes any more, and beside three other rows its stand-ins came late: one node had 16.7 in hand in the mean where 13.2 are allowed, in one suite of one. The test is as it was.

--- a/Makefile
+++ b/Makefile
@@ -10,20 +10,20 @@
 	.venv/bin/python tests/limits.py
 
 # Tests of many processes, and those that play long on a clock of their own, run beside all others; those that
-# start thirty at once take all cores, and run behind them. Every verdict counts.
-RIG = tests/test_fleet_rig.py tests/test_fleet_ramp.py tests/test_live_changes.py
+# start 24 or thirty at once take all cores, and run behind them. Every verdict counts.
+RIG = tests/test_fleet_rig.py tests/test_live_changes.py
 LONG = tests/test_membership.py tests/test_shares.py
 TABLE = tests/test_replication.py tests/test_local_copy.py tests/test_paging.py tests/test_tenant_index.py \
 	tests/test_replicated_api.py tests/test_replication_service.py tests/test_capacity.py tests/test_capacity_model.py
-READY = tests/test_ready.py
+ALONE = tests/test_fleet_ramp.py tests/test_ready.py
 LANES = RIG LONG TABLE
 PYTEST = .venv/bin/python -m pytest -q
 test: lint
 	@logs=$$(mktemp -d); pids=; failed=0; \
 	$(foreach lane,$(LANES),$(PYTEST) $($(lane)) >$$logs/$(lane) 2>&1 & pids="$$pids $$!";) \
-	$(PYTEST) $(addprefix --ignore=,$(foreach lane,$(LANES),$($(lane))) $(READY)) || failed=1; \
+	$(PYTEST) $(addprefix --ignore=,$(foreach lane,$(LANES),$($(lane))) $(ALONE)) || failed=1; \
 	for pid in $$pids; do wait $$pid || failed=1; done; cat $$logs/*; rm -rf $$logs; \
-	$(PYTEST) $(READY) || failed=1; \
+	$(PYTEST) $(ALONE) || failed=1; \
 	exit $$failed
 
 # One arena: with one for each few threads, memory that short-lived threads free is not given to others.
