Have the poller do what it is asked for before it reads what came meanwhile

`Poller._run_calls` did as many calls as waited when it began. A drain that is asked for while one of them is slow was left for the next round, and the sockets that the same look had found were read before it, as by a node that does not leave. Ruled out: the order of answers within the front. Change: the clock first, then all calls until there is none (128 at most, so that sockets have their turn), then sockets.

--- a/reelusher/poller.py
+++ b/reelusher/poller.py
@@ -22,6 +22,7 @@
 from reelusher.net import spawn
 
 MOST_EVENTS = 128  # sockets that one look finds ready
+MOST_CALLS = 128  # of other threads' wishes before the next look at sockets
 Work = Callable[[], object]
 
 
@@ -96,8 +97,8 @@
         while not self._closed:
             wait = max(0.0, self._timers[0][0] - time.monotonic()) if self._timers else None
             found = self._epoll.poll(wait, MOST_EVENTS)
-            self._run_calls()  # what others ask for, and the clock, go before what has come in
-            self._run_due()
+            self._run_due()  # the clock, and what others ask for, go before what has come in
+            self._run_calls()
             for fd, _ in found:
                 if fd == self._bell:
                     with contextlib.suppress(BlockingIOError):
@@ -109,8 +110,17 @@
         self._release()
 
     def _run_calls(self) -> None:
-        for _ in range(self._calls.qsize()):  # what these ask for comes after the next look at sockets
-            self._guarded(self._calls.get())
+        """Do what others asked for, until now: also what came while this thread was at one of these.
+
+        It was left for the round after. A drain asked for meanwhile then found that connections whose bytes had
+        come no earlier had been read as if the node did not leave: they were refused before they were told.
+        """
+        for _ in range(MOST_CALLS):
+            try:
+                work = self._calls.get_nowait()
+            except queue.Empty:
+                return
+            self._guarded(work)
 
     def _run_due(self) -> None:
         now = time.monotonic()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -234,6 +234,49 @@
         sock.close()
 
 
+def test_a_poller_does_what_was_asked_for_before_it_reads_what_came_meanwhile() -> None:
+    """A drain that was asked for while the poller was late came behind what the poller had found to read."""
+    poller, order, over = Poller("test-poller", Counters()), list[str](), threading.Event()
+    near, far = socket.socketpair()
+
+    def slow() -> None:
+        poller.call(lambda: order.append("asked for meanwhile"))  # as another thread would, while this is slow
+        order.append("slow")
+
+    def read() -> None:
+        near.recv(100)
+        order.append("read")
+        over.set()
+
+    poller.watch(near, read)
+    far.send(b"here before the poller looks")
+    poller.call(slow)
+    poller.start()
+    assert over.wait(10)
+    poller.close()
+    assert order == ["slow", "asked for meanwhile", "read"]
+    near.close()
+    far.close()
+
+
+def test_a_poller_reads_though_what_it_is_asked_for_asks_again_each_time() -> None:
+    poller, over = Poller("test-poller", Counters()), threading.Event()
+    near, far = socket.socketpair()
+
+    def again() -> None:
+        if not over.is_set():
+            poller.call(again)
+
+    poller.watch(near, over.set)
+    far.send(b"here")
+    poller.call(again)
+    poller.start()
+    assert over.wait(10)
+    poller.close()
+    near.close()
+    far.close()
+
+
 def test_a_drain_begins_while_a_reload_waits_for_its_file(tmp_path: Path) -> None:
     """One thread took all signals, so a file that could not be read held SIGTERM up until the kill."""
     with program(tmp_path, 2000) as process:
