--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -240,7 +240,7 @@
     near, far = socket.socketpair()
 
     def slow() -> None:
-        poller.call(lambda: order.append("asked for meanwhile"))  # as another thread would, while this is slow
+        poller.call(lambda: order.append("asked for meanwhile"))  # as another thread would meanwhile
         order.append("slow")
 
     def read() -> None:
