--- a/reelusher/poller.py
+++ b/reelusher/poller.py
@@ -113,7 +113,7 @@
         """Do what others asked for, until now: also what came while this thread was at one of these.
 
         It was left for the round after. A drain asked for meanwhile then found that connections whose bytes
-        had come no earlier had been read as if the node did not leave: they were refused before they were told.
+        had come no earlier had been read as if the node did not leave: refused before they were told.
         """
         for _ in range(MOST_CALLS):
             try:
