--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -458,7 +458,7 @@
 
 
 def test_a_new_life_begun_while_it_was_apart_is_not_believed_of_deaths_for_some_seconds() -> None:
-    """It never hears that it was held for dead: its earlier life was. Four datagrams caused 480 false deaths."""
+    """It never hears that it was held for dead: its earlier life was. 480 false deaths came of that."""
     swim, apart_one = Swim(said(1), Random(1), 0.0), "127.0.0.1:3"
     swim.merge([said(2), said(3), said(4), said(5)], 0.0)
     swim.receive(Message(Kind.GOSSIP, "127.0.0.1:2", updates=[said(3, 1, State.DEAD)]), 0.1)
