Pace the pulls of changes by their bytes, not by how many streams they are of

Half of the nodes have a change after some 4 s, twice as many each 0.44 s. Measured at 800: a node pulls 1.5 times a second, a pull takes 0.12 s in the median, and 0.47 s lie between two of them, though in four of five cases somebody is known to be ahead when one ends. To blame is `take`: it waits for `len(reply.pieces) / FILL_PER_S`, meant for pieces of 64 KB of a fill; of six writers each reply brings up to six pieces with a change or two, and waits up to 1.2 s. Change: the wait goes by the bytes that came; a full piece waits as before. A test of six streams with one change each fails before (1.34 s in place of 0.12 s at most).

--- a/reelusher/fleet/replication/streams.py
+++ b/reelusher/fleet/replication/streams.py
@@ -43,7 +43,7 @@
 FORMAT = 1  # of entries and pieces; members of another do not exchange any
 JITTER_S = 0.02, 0.15  # from hearing that someone is ahead to asking
 LEAST_S = 0.1  # between pulls, so that one brings many changes
-FILL_PER_S = 5.0  # pieces that a replica takes a second while it fills: 6 ms of a core each
+FILL_PER_S = 5.0  # full pieces that a replica takes a second while it fills: 6 ms of a core each
 PULL_S = 5.0  # a pull that has not come to an end after so long is over
 FAIL_S = 0.1, 5.0  # between tries where nobody who is ahead answers
 SHUN_S = 1.0, 30.0  # for which one is not asked that did not answer, or gave nothing of use
@@ -381,7 +381,9 @@
         with self._lock:
             behind = any(self.ahead(one.vector) for one in self._ahead.values())
         if more or behind:
-            wait_s = max(LEAST_S, len(reply.pieces) / FILL_PER_S) if taken.pieces else self._backoff.next_s()
+            # by bytes, not by pieces: one change in each of several streams is no fill
+            size = sum(entry.size for piece in reply.pieces for entry in piece.entries)
+            wait_s = max(LEAST_S, size / MOST_PIECE / FILL_PER_S) if taken.pieces else self._backoff.next_s()
             self._due_s = now + wait_s * self._random.uniform(0.8, 1.2)
         return taken
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -20,8 +20,8 @@
     MOST_PIECE, MOST_REPLY, MOST_TENANT, EntriesReply, EntriesRequest, Entry, Piece)
 from reelusher.fleet.replication.rows import Broken, MemoryRows, StreamState
 from reelusher.fleet.replication.streams import (
-    JITTER_S, Behind, Position, Replica, control_digest, first_epoch, holder_of, next_epoch, pack,
-    shared_upto, stream_of, unpack)
+    FILL_PER_S, JITTER_S, LEAST_S, Behind, Position, Replica, control_digest, first_epoch, holder_of,
+    next_epoch, pack, shared_upto, stream_of, unpack)
 
 C1, C2 = names_of("c1", 40), names_of("c2", 40)
 
@@ -190,6 +190,28 @@
     assert pull is not None and pull.place == "n4"
 
 
+@pytest.mark.parametrize(("rows", "least_s", "most_s"), [
+    (1, 0.8 * LEAST_S, 1.2 * LEAST_S), (1000, 0.8 * 3.5 / FILL_PER_S, 1.2 * 4.5 / FILL_PER_S)])
+def test_the_next_pull_waits_for_the_bytes_of_the_last_and_not_for_its_streams(
+        rows: int, least_s: float, most_s: float) -> None:
+    """Six streams with a change each made six pieces, and a wait of 1.2 s as after six full ones."""
+    control = tuple(f"c{number}" for number in range(1, 7))
+    fleet = Replicas(1, None, control)
+    for stream in control:
+        for name in names_of(stream, rows, control):
+            fleet.change(name, more="x" * 300)
+        fleet.pull("c1", stream)
+    found = fleet.ask("n1", "c1")
+    assert found is not None
+    pull, reply = found
+    fleet.change(names_of("c1", rows + 1, control)[-1])
+    replica = fleet.all["n1"]
+    replica.heard("c1", "", list(fleet.all["c1"].announce()), fleet.now)
+    assert len(reply.pieces) == 6 if rows == 1 else len(reply.pieces) >= 4
+    replica.take(pull, reply, fleet.now)
+    assert least_s <= replica.due_s() - fleet.now <= most_s
+
+
 def test_nobody_is_asked_who_is_level_behind_or_of_another_list(folder: Path | None) -> None:
     fleet = Replicas(1, folder)
     fleet.change(C1[0])
