Send a piece of news on the more rarely, the more there are

Sampled: `_pick_news`. That region alone on the clock (635 nodes of one part, 2,965 others gone at once): after 40 s each still has 2,030 pieces to tell, 390 more each 10 s, at 38,852 bytes a second, all that gossip may send (440 pieces a second); each of 2,965 suspicions and deaths is sent 28 times. Ruled out: a rumour of members dropped past 1,024 dead (none at 600 nodes). Change: past 256 pieces each is sent on the more rarely, 5 times at least, which misses a member with a chance of exp(-5); digests mend that, as they do already.

--- a/reelusher/fleet/membership/swim.py
+++ b/reelusher/fleet/membership/swim.py
@@ -31,6 +31,7 @@
 FANOUT = 4  # members that a round goes to
 SPREAD = 2  # times log2 of the size, and so many more: how often one piece of news is sent on. One that is
 SPREAD_LEAST = 5  # sent k times by each misses a member with a chance of exp(-k), which digests then mend
+MANY_NEWS = 256  # pieces to send on, past which each is sent on the more rarely, the more there are
 MOST_NEWS = 16  # pieces in one datagram
 NEWS_BYTES = 870  # that they and the vector take: with the longest names all else takes 520
 CONFIRM = 3  # further accusers that bring a suspicion to its shortest time
@@ -374,7 +375,9 @@
     # News
 
     def _limit(self) -> int:
-        return int(SPREAD * log2(self.size() + 1)) + SPREAD_LEAST
+        """Return how often a piece is sent on: the more there are the more rarely, or they wait long."""
+        usual = int(SPREAD * log2(self.size() + 1)) + SPREAD_LEAST
+        return max(SPREAD_LEAST, usual * MANY_NEWS // max(MANY_NEWS, len(self._news)))
 
     def _spread(self, said: Update) -> None:
         news = self._news[said.place] = News(said, update_size(said))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,6 +3,7 @@
 import json
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from random import Random
@@ -472,6 +473,24 @@
     assert swim.table.members["127.0.0.1:5"].said.state is State.DEAD  # and so is it, later
 
 
+@pytest.mark.parametrize(("pieces", "least", "mean"), [
+    (10, 13, 13.5), (200, 13, 13.5), (1000, 5, 8), (3000, 5, 7)])
+def test_a_piece_is_sent_on_the_more_rarely_the_more_there_are(pieces: int, least: int, mean: float) -> None:
+    """A region that loses all others has 3,000 deaths to tell: at 28 times each they waited for minutes."""
+    swim = Swim(said(1), Random(1), 0.0)
+    swim.merge([said(2 + number) for number in range(20)], 0.0)
+    swim.quiet()
+    swim.merge([Update(f"127.0.0.2:{number}", "n", "z", "r", 2, State.DEAD) for number in range(pieces)], 0.0)
+    sent: Counter[str] = Counter()
+    now = 0.0
+    while swim._news:
+        now += 0.05
+        for _, message in swim.tick(now).out:
+            sent.update(one.place for one in message.updates if one.place.startswith("127.0.0.2"))
+    assert len(sent) == pieces and min(sent.values()) >= least
+    assert sum(sent.values()) / pieces <= mean
+
+
 def test_one_that_left_and_is_back_is_believed_at_once() -> None:
     swim = Swim(said(1), Random(1), 0.0)
     swim.merge([said(2), said(3), said(4)], 0.0)
