--- a/reelusher/lab/capacity/roles.py
+++ b/reelusher/lab/capacity/roles.py
@@ -229,14 +229,20 @@
         "all", "[[fleet/thousand-3600.to_999_permille_most_s]], [[fleet/thousand-3600.to_all_most_s]]; "
         "[[fleet/thousand-3600.past_8_s_for_999_permille]], [[fleet/thousand-3600.past_16_s_for_all]]",
         "8, 16; 0, 0", "", "", "`fleet/thousand-3600`"),
+    Row("the same with a rack of 40 away for 20 s",
+        "[[fleet/rack-3600.to_999_permille_most_s]], [[fleet/rack-3600.to_all_most_s]]; "
+        "[[fleet/rack-3600.past_8_s_for_999_permille]], [[fleet/rack-3600.past_16_s_for_all]]",
+        "8, 16; 0, 0", "", "", "`fleet/rack-3600`"),
     Row("the same, a burst of [[fleet/burst-3600.changes]] in 10 s",
         "[[fleet/burst-3600.to_999_permille_most_s]], [[fleet/burst-3600.to_all_most_s]]", "8, 16", "", "",
         "`fleet/burst-3600`"),
-    Row("bytes a second that a node sends, in the mean: the ordinary day; in the half minute of the burst",
-        "[[fleet/day-3600.sent_bytes_a_second_mean]]; [[fleet/burst-3600.sent_bytes_a_second_mean]]", "3,000",
-        "", "", "both"),
-    Row("processor time in %, decisions and seals without sockets: the same two",
-        "[[fleet/day-3600.core_percent]]; [[fleet/burst-3600.core_percent]]", "3.5", "", "", "both"),
+    Row("bytes a second that a node sends, in the mean: the ordinary day; in the half minute of the burst; "
+        "in the minute of 1,000 changes with a rack away", "[[fleet/day-3600.sent_bytes_a_second_mean]]; "
+        "[[fleet/burst-3600.sent_bytes_a_second_mean]]; [[fleet/rack-3600.sent_bytes_a_second_mean]]",
+        "3,000", "", "", "these three"),
+    Row("processor time in %, decisions and seals without sockets: the same three",
+        "[[fleet/day-3600.core_percent]]; [[fleet/burst-3600.core_percent]]; "
+        "[[fleet/rack-3600.core_percent]]", "3.5", "", "", "these three"),
     Row("a region apart for an hour with changes on both sides, 150 members: all have all after its return, "
         "in s; nodes with other rows", "[[fleet/region-hour-150.all_level_after_return_s]]; "
         "[[fleet/region-hour-150.nodes_with_other_rows]]", "16; 0", "", "", "`fleet/region-hour-150`"),
