--- a/reelusher/lab/capacity/roles.py
+++ b/reelusher/lab/capacity/roles.py
@@ -148,7 +148,7 @@
     Row("a region apart for an hour, on its return: all level, members agree, in s, at 150 members",
         "[[fleet/region-hour-150.all_level_after_return_s]], "
         "[[fleet/region-hour-150.members_agree_after_return_s]]", "16", "streams of each writer go on",
-        PART, "`fleet/region-hour-150`; 3,600 not run"),
+        PART, "`fleet/region-hour-150`; 3,600 begun, not ended"),
     Row("a change made durable in the copy, 260,000 rows", "[[tenants-copy.change_us@260000]]",
         "[[derived.change_every_s]]", "SQLite, synced", WORKS, "`tenants-copy`"),
     Row("of its own tenants, without replication: a change made durable, 64,000 in the journal",
