Bound how often the rig looks for cores, and let one piece read what threads waited

Read again: the rig looked at all threads of each node ten times a second, which at 200 nodes would be some 26,000 small files a second in its one process. It now makes 240 looks a second at most: 24 nodes as before, more of them each the more rarely. `site.waited_s` read the same files as the rig's; one function serves both. `Fleet.told_dead` and `Parts.size` were read by nobody.

--- a/reelusher/lab/capacity/hollow_fleet.py
+++ b/reelusher/lab/capacity/hollow_fleet.py
@@ -125,7 +125,6 @@
         self.steady = set(range(size))  # neither restarted nor cut off on purpose
         self.changes: list[Change] = []
         self.arrivals: dict[tuple[int, int], array[float]] = {}  # at steady nodes, by stream and number
-        self.told_dead: dict[str, int] = {}  # by place, how many hold it for dead
         self.ran_s = self.swim_s = self.replica_s = 0.0
         self.false_deaths = self.failed_pulls = self.turned_away = 0.0
         self.refused: dict[str, int] = {}
@@ -233,9 +232,7 @@
         random = self.random
         for change in said.changes:
             if change.said.state is State.DEAD:
-                place = change.said.place
-                self.told_dead[place] = self.told_dead.get(place, 0) + 1
-                other = self.by_place[place]
+                other = self.by_place[change.said.place]
                 self.false_deaths += other.up and not self.cut(node.index, other.index)
         for place, message in said.out:
             node.sent += 1
--- a/reelusher/lab/capacity/parts.py
+++ b/reelusher/lab/capacity/parts.py
@@ -59,7 +59,7 @@
         """`parts` is at most the number of regions, else ValueError."""
         if not 1 <= parts <= REGIONS:
             raise ValueError(f"1 to {REGIONS} parts, not {parts}")
-        self.now, self.size = 0.0, size
+        self.now = 0.0
         self._posts: list[list[bytes]] = [[] for _ in range(parts)]
         self._links: list[Connection] = []
         self._processes = []
--- a/reelusher/lab/capacity/request.py
+++ b/reelusher/lab/capacity/request.py
@@ -15,6 +15,7 @@
 from reelusher.lab.capacity import site
 from reelusher.lab.capacity.budgets import expected
 from reelusher.lab.capacity.harness import Figures, Scale
+from reelusher.lab.fleet.processes import waited_s
 from reelusher.lab.load import Line, StandIn
 from reelusher.lab.plan import Worker
 from reelusher.wire import ajp13
@@ -126,10 +127,10 @@
     """Ask the stand-in alone, then through the node, at the same due times."""
     direct = ask(worker, rate, seconds, hosts, seed=1)
     pid = made.process.pid
-    before, waited, began = site.processor_s(pid), site.waited_s(pid), time.monotonic()
+    before, waited, began = site.processor_s(pid), sum(waited_s(pid).values()), time.monotonic()
     through = ask(made.ajp, rate, seconds, hosts, seed=1)
     took, lasted = site.processor_s(pid) - before, time.monotonic() - began
-    waited = site.waited_s(pid) - waited
+    waited = sum(waited_s(pid).values()) - waited
     asked = through["count"] * (WARM_S + seconds) / seconds
     return {"request_us": took / asked * 1e6, "waited_us": waited / asked * 1e6, "core": took / lasted,
             "refused": through["refused"] / through["count"],
--- a/reelusher/lab/capacity/site.py
+++ b/reelusher/lab/capacity/site.py
@@ -69,15 +69,6 @@
     return (int(fields[11]) + int(fields[12])) * TICK_S
 
 
-def waited_s(pid: int) -> float:
-    """Return the seconds for which the threads that a process has now were ready and had no core."""
-    waited = 0
-    for path in Path(f"/proc/{pid}/task").glob("*/schedstat"):
-        with contextlib.suppress(OSError):  # a thread that has just ended
-            waited += int(path.read_text().split()[1])
-    return waited / 1e9
-
-
 @dataclass(slots=True)
 class Hosted:
     """A node that runs."""
--- a/reelusher/lab/fleet/processes.py
+++ b/reelusher/lab/fleet/processes.py
@@ -56,6 +56,15 @@
         "limits": {"retry_after": True, "max_retry_after_us": 1_000_000}}
 
 
+def waited_s(pid: int) -> dict[str, float]:
+    """Return for how many seconds each thread that a process has now was ready and had no core."""
+    made: dict[str, float] = {}
+    for path in Path(f"/proc/{pid}/task").glob("*/schedstat"):
+        with contextlib.suppress(OSError):  # a thread that has just ended
+            made[path.parent.name] = int(path.read_text().split()[1]) / 1e9
+    return made
+
+
 class Processes:
     """All nodes of a run. Leaving the block ends every process that it started."""
 
@@ -118,14 +127,6 @@
         process = self.running.get(name)
         return process is not None and process.poll() is None
 
-    def waited_s(self, name: str) -> dict[str, float]:
-        """Return for how long each thread of a node was ready and had no core, since its start."""
-        made: dict[str, float] = {}
-        for path in Path(f"/proc/{self.running[name].pid}/task").glob("*/schedstat"):
-            with contextlib.suppress(OSError):  # a thread that has just ended
-                made[path.parent.name] = int(path.read_text().split()[1]) / 1e9
-        return made
-
     def kill(self, name: str) -> None:
         """End a node at once."""
         process = self.running[name]
--- a/reelusher/lab/fleet/rig.py
+++ b/reelusher/lab/fleet/rig.py
@@ -17,13 +17,14 @@
 from reelusher.lab.fleet.account import Account
 from reelusher.lab.fleet.census import Census
 from reelusher.lab.fleet.plan import Fault, Plan, check_room
-from reelusher.lab.fleet.processes import Processes
+from reelusher.lab.fleet.processes import Processes, waited_s
 from reelusher.lab.fleet.relay import Net
 from reelusher.lab.fleet.stage import LAST_S, LOOK_S, Stage
 from reelusher.lab.fleet.wires import BelowWire, Lines, ListWire, RuntimeHost, RuntimeWire
 
 BEAT_S = 0.01
-CORES_S = 0.1  # between looks at how long nodes waited for a core
+CORES_S = 0.1  # between looks at how long a node waited for a core, or more:
+CORE_LOOKS_PER_S = 240.0  # at all nodes together, each some twelve small files; more would starve the rig
 STARVE_S = 0.02  # a starved node is stopped and continued within each such span
 SERVICES = "127.200.0.2"  # where the stand-ins listen, behind the relays
 PORTS, PORT_TRIES = (10_000, 32_000), 100
@@ -110,11 +111,13 @@
 
     def _look_for_cores(self, name: str, before: dict[str, float], since: float) -> None:
         """Note for how long the thread of a node that waited longest had no core since the last look."""
-        now, waited = self.loop.time(), self.processes.waited_s(name) if self.processes.alive(name) else {}
+        now, alive = self.loop.time(), self.processes.alive(name)
+        waited = waited_s(self.processes.running[name].pid) if alive else {}
         if now > since:
             self.account.note_coreless(name, since, now, max(
                 (waited_s - before.get(thread, 0.0) for thread, waited_s in waited.items()), default=0.0))
-        self.loop.call_later(CORES_S, self._look_for_cores, name, waited, now)
+        wait_s = max(CORES_S, len(self.places) / CORE_LOOKS_PER_S)
+        self.loop.call_later(wait_s, self._look_for_cores, name, waited, now)
 
     async def _serve(self, make: Callable[[], asyncio.Protocol]) -> Address:
         server = await self.loop.create_server(make, SERVICES, 0, backlog=4096)
