--- a/reelusher/storage/journal.py
+++ b/reelusher/storage/journal.py
@@ -51,7 +51,8 @@
         self._compact_after = compact_after
         self._snapshot_number = 0  # number of the last change in the newest snapshot
         self._journal_bytes = 0
-        self._changes_since_snapshot = 0
+        self._changes_since_snapshot = 0  # or since the last attempt to write one
+        self._bytes_at_failed_snapshot = 0  # size of the journal at the last attempt that failed
         self.failure = ""  # why the journal accepts no more changes; "" while it accepts them
         self.number = 0  # number of the last change
 
@@ -142,7 +143,10 @@
         """
         if self.failure:
             raise JournalError(self.failure)
-        data = encode_frame(self.number + 1, payload)
+        try:
+            data = encode_frame(self.number + 1, payload)
+        except ValueError as error:
+            raise JournalError(f"{self._journal_name}: {error}") from None
         try:
             self._directory.append(self._journal_name, data, self._journal_bytes)
         except OSError as error:
@@ -174,42 +178,73 @@
     def compact_if_due(self) -> bool:
         """Write a snapshot after enough changes or bytes since the last; return whether one was written.
 
-        A failure does no harm: changes continue in the current journal, and the snapshot is retried later.
-        The exception is a rename that may not be durable: the journal then accepts no more changes.
+        A failure does no harm: changes continue in the current journal, and the snapshot is retried after as
+        many changes or bytes again. The exception is a rename that may have taken effect, but may not be
+        durable: the journal then accepts no more changes.
         """
-        due = (
-            self._changes_since_snapshot >= self._compact_after or self._journal_bytes >= COMPACT_AFTER_BYTES
-        )
+        added_bytes = self._journal_bytes - self._bytes_at_failed_snapshot
+        due = self._changes_since_snapshot >= self._compact_after or added_bytes >= COMPACT_AFTER_BYTES
         return due and not self.failure and self.compact()
 
     def compact(self) -> bool:
-        """Write a snapshot of the current state and start a new journal; return whether that succeeded."""
+        """Write a snapshot of the current state and start a new journal; return whether that succeeded.
+
+        Raises nothing: a failure is logged.
+        """
         number = self.number
         try:
-            data = MAGIC + encode_frame(number, self._encode_snapshot())
-            if number != self._snapshot_number:
-                self._create(number)
-            self._directory.remove(UNFINISHED_SNAPSHOT)  # left by an earlier attempt
-            self._directory.append(UNFINISHED_SNAPSHOT, data, 0)
-            self._directory.sync(UNFINISHED_SNAPSHOT)
+            self._prepare_snapshot(number)
+        except (OSError, ValueError) as error:  # ValueError: the state is too large for one frame
+            self._abandon_snapshot(number, error)
+            return False
+        try:
             self._directory.rename(UNFINISHED_SNAPSHOT, f"snapshot-{number}")
             self._directory.sync_directory()
         except OSError as error:
-            logger.warning("state: snapshot failed: {}", error)
-            if f"snapshot-{number}" in self._directory.file_names():  # the rename may not be durable
-                self.failure = f"snapshot-{number}: its name may not last: {error}"
-            else:
-                # retried after `compact_after` more changes, or with the next one if the journal is large
-                self._changes_since_snapshot = 0
+            self._on_rename_failure(number, error)
             return False
         previous, self._snapshot_number = self._snapshot_number, number
         self._journal_bytes, self._changes_since_snapshot = len(MAGIC), 0
+        self._bytes_at_failed_snapshot = 0
         try:
             self._remove_older(previous)
         except OSError as error:  # old files only take space, and are removed after the next snapshot
             logger.warning("state: removing old files failed: {}", error)
         return True
 
+    def _prepare_snapshot(self, number: int) -> None:
+        """Write an unfinished snapshot and the empty journal after it. Raises OSError or ValueError."""
+        data = MAGIC + encode_frame(number, self._encode_snapshot())
+        if number != self._snapshot_number:
+            self._create(number)
+        self._directory.remove(UNFINISHED_SNAPSHOT)  # left by an earlier attempt
+        self._directory.append(UNFINISHED_SNAPSHOT, data, 0)
+        self._directory.sync(UNFINISHED_SNAPSHOT)
+
+    def _on_rename_failure(self, number: int, error: OSError) -> None:
+        """Accept no more changes, unless it is certain that a restart would read the current journal."""
+        try:
+            may_be_renamed = f"snapshot-{number}" in self._directory.file_names()
+        except OSError:
+            may_be_renamed = True
+        if not may_be_renamed:
+            self._abandon_snapshot(number, error)
+            return
+        self.failure = f"snapshot-{number}: its name may not last, the state is closed to changes: {error}"
+        logger.error("state: {}", self.failure)
+
+    def _abandon_snapshot(self, number: int, error: Exception) -> None:
+        """Go on with the current journal after a snapshot that failed, and remove the one prepared for it."""
+        logger.warning("state: snapshot failed: {}", error)
+        self._changes_since_snapshot = 0
+        self._bytes_at_failed_snapshot = self._journal_bytes
+        if number == self._snapshot_number:
+            return
+        try:
+            self._directory.remove(f"journal-{number}")
+        except OSError as removal_error:  # it is empty, and is removed after the next snapshot
+            logger.warning("state: removing an unused journal failed: {}", removal_error)
+
     def _remove_older(self, previous: int) -> None:
         snapshots, journals = self._file_numbers()
         for number in journals:
--- a/tests/storage/test_journal.py
+++ b/tests/storage/test_journal.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from reelusher.storage import frames, journal
 from reelusher.storage.errors import JournalError
 from reelusher.storage.frames import MAGIC
 from reelusher.storage.journal import Journal
@@ -106,3 +107,80 @@
         JournalError, match=f"snapshot-8: at byte {len(MAGIC) + 20}: the checksum of a payload"
     ):
         JournaledList(disk)
+
+
+class SnapshotFaults(FaultyDirectory):
+    """A disk on which each operation on a snapshot fails, and optionally the listing of files too."""
+
+    def __init__(self, failing_operation: str, listing_fails: bool = False) -> None:
+        super().__init__()
+        self.failing_operation, self.listing_fails, self.snapshots_begun = failing_operation, listing_fails, 0
+
+    def fail_for(self, operation: str, name: str) -> None:
+        if name.startswith("snapshot") and operation == self.failing_operation:
+            raise OSError(5, "Input/output error")
+
+    def file_names(self) -> list[str]:
+        if self.listing_fails and self.snapshots_begun:
+            raise OSError(5, "Input/output error")
+        return super().file_names()
+
+    def append(self, name: str, data: bytes, offset: int) -> None:
+        self.snapshots_begun += name.startswith("snapshot")
+        self.fail_for("append", name)
+        super().append(name, data, offset)
+
+    def sync(self, name: str) -> None:
+        self.fail_for("sync", name)
+        super().sync(name)
+
+    def rename(self, name: str, new_name: str) -> None:
+        self.fail_for("rename", name)
+        super().rename(name, new_name)
+
+
+@pytest.mark.parametrize("operation", ["append", "sync", "rename"])
+def test_snapshot_that_fails_while_files_can_not_be_listed_raises_nothing(operation: str) -> None:
+    """Guard against an exception of the error handling: it ended the thread that made keys durable."""
+    journaled = JournaledList(SnapshotFaults(operation, listing_fails=True))
+    for number in range(4):
+        journaled.add(f"change {number}")
+    if operation != "rename":  # the old journal is surely the one that a restart reads
+        journaled.add("accepted")
+        return
+    with pytest.raises(JournalError, match="snapshot-4"):
+        journaled.add("refused")
+
+
+def test_state_too_large_for_a_snapshot_raises_nothing_and_accepts_changes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a ValueError of the encoder: it ended the thread that made keys durable."""
+    disk = FaultyDirectory()
+    journaled = JournaledList(disk)
+    monkeypatch.setattr(frames, "MAX_PAYLOAD_BYTES", 40)
+    for number in range(12):
+        journaled.add(f"change {number}")
+    assert JournaledList(disk.restart(random.Random(1))).items == journaled.items
+    with pytest.raises(JournalError, match="a payload of 41 bytes, 40 at most"):
+        journaled.add("x" * 41)
+    assert not journaled.journal.failure
+
+
+@pytest.mark.parametrize("operation", ["append", "sync", "rename"])
+def test_failed_snapshot_of_a_large_journal_is_not_repeated_at_each_change(
+    operation: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a new file, with an open descriptor, and a whole snapshot for each further change."""
+    monkeypatch.setattr(journal, "COMPACT_AFTER_BYTES", 400)
+    disk = SnapshotFaults(operation)
+    journaled = JournaledList(disk, compact_after=1000)
+    for number in range(30):  # the journal reaches 400 bytes twice
+        journaled.add(f"change {number}")
+    assert disk.snapshots_begun <= 30 * 40 // 400
+    assert [name for name in disk.file_names() if name != "snapshot.new"] == ["journal-0"]
+    disk.failing_operation = ""  # the disk has space again
+    for number in range(30):
+        journaled.add(f"later {number}")
+    assert any(name.startswith("snapshot-") for name in disk.file_names())
+    assert JournaledList(disk.restart(random.Random(1))).items == journaled.items
--- a/tests/storage/test_key_log.py
+++ b/tests/storage/test_key_log.py
@@ -5,7 +5,8 @@
 import pytest
 from core_harness import CoreHarness
 
-from reelusher.core.messages import KeyPersisted, Verdict
+from reelusher.core.messages import IdempotencyKey, KeyPersisted, Verdict
+from reelusher.storage import frames, journal
 from reelusher.storage.key_log import KeyLog
 from storage.faulty_directory import FaultyDirectory
 
@@ -57,3 +58,15 @@
     assert succeeded or harness.verdicts("a") == [Verdict.REJECTED]
     assert len(harness.core.attempts) == 0
     assert len(harness.core.keys) == 0
+
+
+def test_key_log_goes_on_after_a_snapshot_that_can_not_be_encoded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against the end of the log's thread: later keyed requests waited for their deadline."""
+    monkeypatch.setattr(journal, "COMPACT_AFTER_BYTES", 1)
+    log, results = KeyLog(FaultyDirectory(), lambda: 0), list[bool]()
+    for number in range(3):
+        log.persist(IdempotencyKey("t", 0, f"k{number}"), 1_000_000, b"digest", results.append)
+        log.close()
+        monkeypatch.setattr(frames, "MAX_PAYLOAD_BYTES", 100)  # one key, and no snapshot of several
+        log.run()
+    assert results == [True, True, True]
