Release the lock of a key that can't be made durable

What callers saw: a keyed request was rejected as never run, and its retry at the other process of the node waited for a run that never began and failed, for the whole window of the key.

Cause: a key is locked first and made durable then; a failure of the second step kept the lock, since the message for it is that of a lock which another process holds.

Change: the callback of the failed write releases the lock before it reports. The comment in the life cycle says what holds now.

--- a/reelusher/core/deduplication.py
+++ b/reelusher/core/deduplication.py
@@ -156,17 +156,20 @@
         )
 
     def _persist(self, attempt_id: int, entry: IdempotencyEntry, unix_ahead_us: int) -> None:
-        """Make a key durable if that is configured, and post `KeyPersisted`. Any thread may call this."""
-        post = self._context.post
+        """Make a key durable if that is configured, and post `KeyPersisted`. Any thread may call this.
+
+        If it can't be made durable, it never runs here, so its lock is released for other processes.
+        """
         if self.key_log is None:
-            post(KeyPersisted(attempt_id, True))
+            self._context.post(KeyPersisted(attempt_id, True))
             return
-        self.key_log.persist(
-            entry.key,
-            entry.expires_us + unix_ahead_us,
-            entry.digest,
-            lambda succeeded: post(KeyPersisted(attempt_id, succeeded)),
-        )
+
+        def on_persisted(succeeded: bool) -> None:
+            if not succeeded and self.key_locks is not None:
+                self.key_locks.release(entry.key)
+            self._context.post(KeyPersisted(attempt_id, succeeded))
+
+        self.key_log.persist(entry.key, entry.expires_us + unix_ahead_us, entry.digest, on_persisted)
 
     def withdraw_key(self, attempt: Attempt) -> None:
         """Withdraw a durable key whose run was never started."""
--- a/reelusher/core/request_lifecycle.py
+++ b/reelusher/core/request_lifecycle.py
@@ -200,7 +200,7 @@
         attempt = self._context.attempts.get(message.attempt_id)
         if attempt is None or not attempt.awaiting_key:
             return
-        # after a failure another process may hold the lock; awaiting_key stays set so that the lock is kept
+        # after a failure this process holds no lock: awaiting_key stays set, so that none is released
         attempt.awaiting_key = not message.succeeded
         if message.succeeded and not attempt.answered:
             self._start_run(attempt)
--- a/tests/upgrade/test_key_locks.py
+++ b/tests/upgrade/test_key_locks.py
@@ -3,13 +3,18 @@
 import threading
 import time
 from functools import partial
+from hashlib import blake2b
 from pathlib import Path
 from typing import Any
 
 import pytest
+from core_harness import CoreHarness
 from helpers import wait_until
+from storage.faulty_directory import FaultyDirectory
 
-from reelusher.core.messages import IdempotencyKey, KeyLockRequest, Result
+from reelusher.core.deduplication import DIGEST_BYTES
+from reelusher.core.messages import IdempotencyKey, KeyLockRequest, Result, Verdict
+from reelusher.storage.key_log import KeyLog
 from reelusher.upgrade.key_lock_directory import KeyLock
 from reelusher.upgrade.key_locks import KeyLockFiles
 
@@ -169,3 +174,18 @@
         assert wait_until(
             lambda: not [path for path in (tmp_path / "n3.keys").iterdir() if path.name != "lock"]
         )
+
+
+def test_key_that_can_not_be_made_durable_is_unlocked_for_other_processes(processes: TwoProcesses) -> None:
+    """Guard against a lock that stays: a retry elsewhere waited for the end of a run that never began."""
+    harness, disk = CoreHarness(), FaultyDirectory()
+    harness.core.deduplication.key_locks = processes.locks[0]
+    harness.core.deduplication.key_log = log = KeyLog(disk)
+    disk.fail_at = disk.steps  # the next write
+    harness.process(harness.request("a", 2, KEY.key, tenant=KEY.tenant))
+    assert wait_until(lambda: not log._pending.empty())
+    log.close()
+    log.run()
+    harness.process(*harness.core.queued_messages())
+    assert harness.verdicts("a") == [Verdict.REJECTED]
+    assert receives(processes.acquire(1, digest=blake2b(b"", digest_size=DIGEST_BYTES).hexdigest()), True)
