Poll and expire key locks while keyed requests keep coming

What callers saw: a repeat at the other process of an upgrade got its answer only at the deadline, as an error, though the run had ended; a file for each keyed request stayed in the temporary folder for good.

Cause: the thread of the key locks polled and expired only when no task came for 50 ms and 5 s.

Change: polls and the search for expired locks run between two tasks, the search 32 files at a time. Works since neither depends on an idle moment any more. The scale test of the laboratory calls the two new methods.

--- a/reelusher/lab/capacity/state.py
+++ b/reelusher/lab/capacity/state.py
@@ -84,10 +84,15 @@
             directory.create(IdempotencyKey("tenant-0", 1, f"key-{number}"), KeyLock(1_000_000, "0" * 32), 0)
         lock_us = (time.process_time() - began) / size * 1e6
         files = sum(1 for path in next(Path(name).iterdir()).iterdir())
-        sweep_ms = cpu_us_per_call(lambda: directory.remove_expired(0)) / 1000
+        sweep_ms = cpu_us_per_call(lambda: _search_expired(directory)) / 1000
     return {"claim_us": lock_us, "files": float(files), "sweep_ms": sweep_ms}
 
 
+def _search_expired(directory: KeyLockDirectory) -> None:
+    for path in directory.paths():
+        directory.remove_if_expired(path, 0)
+
+
 SCALES = [
     partial(Scale, size_unit="tenants", target=expected("tenants"))(
         "state-journal",
--- a/reelusher/upgrade/key_lock_directory.py
+++ b/reelusher/upgrade/key_lock_directory.py
@@ -100,14 +100,15 @@
         """Remove the lock of a key."""
         self.path(key).unlink(missing_ok=True)
 
-    def remove_expired(self, at_us: int) -> None:
-        """Remove the locks that had expired at `at_us` (Unix time); files that can't be read are left."""
-        for path in self._folder.iterdir():
-            if path.name == DIRECTORY_LOCK:
-                continue
-            with contextlib.suppress(OSError, KeyLockError), self._exclusive():
-                if _read(path, at_us) is None:
-                    path.unlink(missing_ok=True)
+    def paths(self) -> list[Path]:
+        """Return the paths of the files of all keys."""
+        return [path for path in self._folder.iterdir() if path.name != DIRECTORY_LOCK]
+
+    def remove_if_expired(self, path: Path, at_us: int) -> None:
+        """Remove a lock that had expired at `at_us` (Unix time); a file that can't be read is left."""
+        with contextlib.suppress(OSError, KeyLockError), self._exclusive():
+            if _read(path, at_us) is None:
+                path.unlink(missing_ok=True)
 
     @contextlib.contextmanager
     def _exclusive(self) -> Iterator[None]:
--- a/reelusher/upgrade/key_locks.py
+++ b/reelusher/upgrade/key_locks.py
@@ -20,7 +20,8 @@
 from reelusher.upgrade.process_registry import file_name_of
 
 POLL_INTERVAL_S = 0.05  # time between two reads of another process's lock while its run has not ended
-EXPIRY_INTERVAL_S = 5.0  # minimum time between two removals of expired locks
+EXPIRY_INTERVAL_S = 5.0  # time between two searches for expired locks
+EXPIRY_FILES_PER_STEP = 32  # files that such a search reads between two tasks
 # an expired lock is kept this long, since a request may be read that long after it was received
 RETENTION_US = 20_000_000
 
@@ -41,7 +42,8 @@
         self._tasks: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
         self._polls: list[tuple[float, int, KeyLockRequest]] = []  # heap; due time and sequence number first
         self._last_sequence = 0
-        self._expiry_checked_s = time.monotonic()
+        self._next_expiry_s = time.monotonic() + EXPIRY_INTERVAL_S
+        self._unchecked_paths: list[Path] = []  # files that the current search for expired locks has not read
 
     # Methods that the event loop and the threads that start and stop the node call; they do not block
 
@@ -68,18 +70,32 @@
     # Methods that run on the thread that accesses the files
 
     def _run(self) -> None:
+        """Run tasks, and between them the polls and the search for expired locks that are due."""
         while True:
-            timeout_s = self._polls[0][0] - time.monotonic() if self._polls else EXPIRY_INTERVAL_S
             try:
-                task = self._tasks.get(timeout=max(0.0, timeout_s))
+                task = self._tasks.get(timeout=self._wait_s())
             except queue.Empty:
-                task = self._poll
-            if task is None:
-                return
-            try:
-                task()
-            except (OSError, KeyLockError) as error:
-                logger.error("upgrade: key locks can't be written: {}", error)
+                pass
+            else:
+                if task is None:
+                    return
+                self._run_step(task)
+            self._run_step(self._poll_due_requests)
+            self._run_step(self._remove_expired)
+
+    @staticmethod
+    def _run_step(step: Callable[[], None]) -> None:
+        try:
+            step()
+        except (OSError, KeyLockError) as error:
+            logger.error("upgrade: key locks can't be written: {}", error)
+
+    def _wait_s(self) -> float:
+        """Return the seconds until the next poll or search is due."""
+        if self._unchecked_paths:
+            return 0.0
+        due_s = min(self._polls[0][0], self._next_expiry_s) if self._polls else self._next_expiry_s
+        return max(0.0, due_s - time.monotonic())
 
     def _acquire(self, request: KeyLockRequest) -> None:
         lock = KeyLock(request.expires_us, request.digest)
@@ -112,17 +128,20 @@
         logger.error("upgrade: a key lock can't be read, its request fails: {}", error)
         request.on_result_elsewhere(None)
 
-    def _poll(self) -> None:
-        """Read the locks whose next poll is due, and remove expired locks at most every `EXPIRY_INTERVAL_S`.
-
-        This runs only when no task is queued.
-        """
+    def _poll_due_requests(self) -> None:
+        """Read the locks whose next poll is due."""
         now_s = time.monotonic()
         while self._polls and self._polls[0][0] <= now_s:
             self._poll_request(heapq.heappop(self._polls)[2])
-        if now_s - self._expiry_checked_s >= EXPIRY_INTERVAL_S:
-            self._expiry_checked_s = now_s
-            self.directory.remove_expired(self._now_us() - RETENTION_US)
+
+    def _remove_expired(self) -> None:
+        """Remove expired locks, a few files at a time, so that no task waits for a whole search."""
+        now_s = time.monotonic()
+        if not self._unchecked_paths and now_s >= self._next_expiry_s:
+            self._next_expiry_s = now_s + EXPIRY_INTERVAL_S
+            self._unchecked_paths = self.directory.paths()
+        for _ in range(min(EXPIRY_FILES_PER_STEP, len(self._unchecked_paths))):
+            self.directory.remove_if_expired(self._unchecked_paths.pop(), self._now_us() - RETENTION_US)
 
     def _poll_request(self, request: KeyLockRequest) -> None:
         try:
--- a/tests/upgrade/test_key_locks.py
+++ b/tests/upgrade/test_key_locks.py
@@ -1,7 +1,9 @@
 """Key locks that two processes share."""
 
+import contextlib
 import threading
 import time
+from collections.abc import Iterator
 from functools import partial
 from hashlib import blake2b
 from pathlib import Path
@@ -15,6 +17,7 @@
 from reelusher.core.deduplication import DIGEST_BYTES
 from reelusher.core.messages import IdempotencyKey, KeyLockRequest, Result, Verdict
 from reelusher.storage.key_log import KeyLog
+from reelusher.upgrade import key_locks
 from reelusher.upgrade.key_lock_directory import KeyLock
 from reelusher.upgrade.key_locks import KeyLockFiles
 
@@ -189,3 +192,50 @@
     harness.process(*harness.core.queued_messages())
     assert harness.verdicts("a") == [Verdict.REJECTED]
     assert receives(processes.acquire(1, digest=blake2b(b"", digest_size=DIGEST_BYTES).hexdigest()), True)
+
+
+@contextlib.contextmanager
+def never_idle(locks: KeyLockFiles) -> Iterator[None]:
+    """Keep a task in the queue at all times, as frequent keyed requests do."""
+    stop = threading.Event()
+
+    def task() -> None:
+        if not stop.is_set():
+            locks._tasks.put(task)
+
+    locks._tasks.put(task)
+    locks._tasks.put(task)
+    try:
+        yield
+    finally:
+        stop.set()
+
+
+def test_expired_locks_are_removed_while_keyed_requests_keep_coming(
+    processes: TwoProcesses, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against files that grow without bound: locks expired only when the queue was empty."""
+    monkeypatch.setattr(key_locks, "EXPIRY_INTERVAL_S", 0.1)
+    locks = processes.locks[0]
+    processes.locks[1].close()
+    expired, valid = ([IdempotencyKey("platform", 2, f"{kind}{n}") for n in range(100)] for kind in "ev")
+    for key in expired:
+        locks.directory.write(key, KeyLock(processes.now_us, "b"))
+    for key in valid:
+        locks.directory.write(key, KeyLock(processes.now_us + 60 * SECOND_US, "b"))
+    processes.now_us += 21 * SECOND_US
+    with never_idle(locks):
+        assert wait_until(lambda: not any(locks.directory.path(key).exists() for key in expired))
+    assert all(locks.directory.path(key).exists() for key in valid)
+
+
+def test_request_that_waits_for_another_process_is_answered_while_others_keep_coming(
+    processes: TwoProcesses,
+) -> None:
+    """Guard against an answer at the deadline: waiting requests were polled only when the queue was empty."""
+    assert receives(processes.acquire(0), True)
+    waiting = processes.acquire(1)
+    assert not receives_anything(waiting)
+    with never_idle(processes.locks[1]):
+        processes.locks[0].complete(KEY, Result(b"made"))
+        assert receives(waiting, Result(b"made"))
