Fail the run of a notice that no link can read, whatever the error

What callers saw: after one result whose blob is not base64, or one notice of an unknown kind, requests failed at their deadlines while the node opened the link to the runtime again and again; after a duration beyond any number, no link was opened any more.

Cause: only KeyError, TypeError and ValueError of a notice led to one repeat and then to the failure of its run. MalformedError closed every link at the same notice, OverflowError ended the link's thread.

Change: all errors of reading a notice are treated alike. Works since the second reading always moves the serial past the notice.

--- a/reelusher/backends/runtime.py
+++ b/reelusher/backends/runtime.py
@@ -242,30 +242,38 @@
 
         A notice that is still malformed when it is repeated on the next link fails its run instead.
         """
-        name = message.get("msg")
-        handler = self._handlers.get(name) if isinstance(name, str) else None
-        if handler is None:
-            raise MalformedError(f"an unknown notice {name!r}")
         serial = message.get("serial")
         if isinstance(serial, int) and serial <= self._serial:
             self._counters.add("runtime.replayed")
             return
         try:
-            handler(message)
-        except (KeyError, TypeError, ValueError) as error:
+            self._handle(message)
+        except (KeyError, TypeError, ValueError, OverflowError, MalformedError) as error:
             if not isinstance(serial, int) or self._malformed_serial != serial:
                 self._malformed_serial = serial  # possibly corrupted in transit: the next link repeats it
-                raise MalformedError(f"a notice {name} with a bad field: {error!r}") from None
-            self._counters.warn(
-                "runtime.spoilt_twice",
-                "runtime: the notice {} is malformed, its run counts as failed",
-                serial,
-            )
-            if isinstance(run_id := message.get("call"), str):
-                self._post(RunFinished(run_id, Outcome.ERROR))
+                raise MalformedError(f"the notice {message.get('msg')!r}: {error!r}") from None
+            self._fail_run_of(message)
         if isinstance(serial, int):
             self._serial = serial  # only once handled, so that the next link repeats notices that were not
 
+    def _handle(self, message: dict[str, Any]) -> None:
+        """Handle a notice. Raises `MalformedError`, or the error of a field that is missing or malformed."""
+        name = message.get("msg")
+        handler = self._handlers.get(name) if isinstance(name, str) else None
+        if handler is None:
+            raise MalformedError("unknown")
+        handler(message)
+
+    def _fail_run_of(self, message: dict[str, Any]) -> None:
+        """End the run of a notice that no link can read: its outcome is unknown."""
+        self._counters.warn(
+            "runtime.spoilt_twice",
+            "runtime: the notice {} is malformed, its run counts as failed",
+            message["serial"],
+        )
+        if isinstance(run_id := message.get("call"), str):
+            self._post(RunFinished(run_id, Outcome.ERROR))
+
     def _on_ready(self, message: dict[str, Any]) -> None:
         """Detect whether the runtime has restarted, and request gauges.
 
--- /dev/null
+++ b/tests/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the connections to the runtime and to workers."""
