Send commands again that crossed a notice of their run

What callers saw: when the link to the runtime broke, a paused run now and then never went on and its request failed at its deadline, or a stopped run kept its core.

Cause: a notice acknowledged all commands for its run, also a stop or cont that was sent while the notice was in transit; nack acknowledged more than the command that it names.

Change: wants acknowledges start, give and omit, nack the command that it names, end and the nack of a start all commands. Works since these are just the commands that the runtime has read by then.

--- a/reelusher/backends/runtime.py
+++ b/reelusher/backends/runtime.py
@@ -4,7 +4,7 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from random import Random
 from typing import Any, NamedTuple
 
@@ -36,6 +36,10 @@
 MAX_BACKLOG_BYTES = 8 << 20
 READ_BYTES = 1 << 16
 MIN_RESTART_S = 5.0  # a smaller difference between two start times is inaccuracy of clocks, not a restart
+START, STOP, RESUME, GIVE, OMIT = "start", "stop", "cont", "give", "omit"  # names of commands
+READ_BEFORE_CALL = frozenset(
+    {START, GIVE, OMIT}
+)  # the runtime has read these when a run requests its next call
 OUTCOMES = {  # by the value of `how` in the notice `end`
     "ok": Outcome.OK,
     "failed": Outcome.ERROR,
@@ -138,23 +142,23 @@
 
     def start(self, request: IncomingRequest, class_name: str) -> None:
         """Start a run."""
-        self._send_command("start", request.run_id, service=class_name, blob=lines.encode_body(request.body))
+        self._send_command(START, request.run_id, service=class_name, blob=lines.encode_body(request.body))
 
     def stop(self, run_id: str) -> None:
         """Stop a run: the preemption mode of the settings decides whether it ends or is paused."""
-        self._send_command("stop", run_id)
+        self._send_command(STOP, run_id)
 
     def resume(self, run_id: str) -> None:
         """Resume a paused run."""
-        self._send_command("cont", run_id)
+        self._send_command(RESUME, run_id)
 
     def deliver_reply(self, run_id: str, body: bytes) -> None:
         """Deliver the reply to a call."""
-        self._send_command("give", run_id, blob=lines.encode_body(body))
+        self._send_command(GIVE, run_id, blob=lines.encode_body(body))
 
     def skip_call(self, run_id: str, serial: int) -> None:
         """Let a run continue without the call that the notice `serial` requested."""
-        self._send_command("omit", run_id, serial=serial)
+        self._send_command(OMIT, run_id, serial=serial)
 
     def request_gauges(self, cookie: str) -> bool:
         """Request the gauges; return False if the link is not ready or the request was not sent."""
@@ -168,7 +172,7 @@
         """Send a command, or keep it until the link is ready; each new link resends it until acknowledged."""
         line = lines.encode_json_line({"msg": name, "call": run_id, **fields})
         with self._lock:
-            self._unacknowledged.add(run_id, line)
+            self._unacknowledged.add(run_id, line, name)
             if self._ready and self._send_buffer is not None:
                 self._send_buffer.send(line)
 
@@ -319,25 +323,32 @@
             self._unacknowledged.acknowledge_gauges(cookie)
         self._post(GaugesReceived(cookie, tuple(float(value) for value in message["stats"])))
 
-    def _acknowledge(self, run_id: str) -> None:
-        """Record that the runtime has read all commands for a run."""
+    def _acknowledge_end(self, run_id: str) -> None:
+        """Forget all commands for a run that has ended."""
         with self._lock:
             self._unacknowledged.acknowledge_run(run_id)
 
+    def _acknowledge(self, run_id: str, names: Container[str]) -> None:
+        """Record that the runtime has read the commands of these names for a run."""
+        with self._lock:
+            self._unacknowledged.acknowledge_names(run_id, names)
+
     def _on_end(self, message: dict[str, Any]) -> None:
         run_id, outcome = str(message["call"]), OUTCOMES[message["how"]]
-        self._acknowledge(run_id)
+        self._acknowledge_end(run_id)
         result = Result(lines.decode_body(message.get("blob", ""))) if outcome is Outcome.OK else None
         self._post(RunFinished(run_id, outcome, int(float(message.get("duration", 0)) * 1000), result))
 
     def _on_wants(self, message: dict[str, Any]) -> None:
         run_id = str(message["call"])
-        self._acknowledge(run_id)
+        self._acknowledge(run_id, READ_BEFORE_CALL)
         self._post(CallRequested(run_id, int(message["serial"]), lines.decode_body(message.get("blob", ""))))
 
     def _on_nack(self, message: dict[str, Any]) -> None:
-        run_id, name = str(message.get("call", "")), message.get("how")
+        run_id, name = str(message.get("call", "")), str(message.get("how"))
         self._counters.warn("runtime.nack", "runtime: the command {} for {} was rejected", name, run_id)
-        self._acknowledge(run_id)
-        if name == "start":  # the run was not started and will not be
+        if name == START:  # the run was not started and will not be
+            self._acknowledge_end(run_id)
             self._post(RunFinished(run_id, Outcome.NOT_STARTED))
+        else:
+            self._acknowledge(run_id, (name,))
--- a/reelusher/backends/unacknowledged_commands.py
+++ b/reelusher/backends/unacknowledged_commands.py
@@ -1,7 +1,7 @@
 """Keeps commands to the runtime until they are acknowledged, to resend them after a broken link."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import NamedTuple
 
 MAX_MARKS = 64  # gauge requests without a reply; a node makes ten a second
@@ -14,14 +14,16 @@
     run_id: str
     line: bytes
     sent_s: float
+    name: str  # its name in the protocol
 
 
 class UnacknowledgedCommands:
     """Commands that the runtime may not have read yet, in the order in which they were sent.
 
-    A notice acknowledges the commands for its run; a reply to a gauge request acknowledges all commands sent
-    before that request. Both find these commands without a search. Commands younger than `LOSS_WINDOW_S` are
-    kept even if gauges acknowledge them: a link that breaks loses them, whether they were read or not.
+    A notice acknowledges the commands for its run that must have been read before it was sent; a reply to a
+    gauge request acknowledges all commands sent before that request. Both find them without a search.
+    Commands younger than `LOSS_WINDOW_S` are kept even if gauges acknowledge them: a link that breaks loses
+    them, whether they were read or not.
 
     Not thread-safe: the caller holds a lock.
     """
@@ -36,10 +38,10 @@
     def __len__(self) -> int:
         return len(self._commands)
 
-    def add(self, run_id: str, line: bytes) -> None:
-        """Record a command."""
+    def add(self, run_id: str, line: bytes, name: str = "") -> None:
+        """Record a command; `name` is needed if it can be acknowledged by `acknowledge_names`."""
         self._last_sequence += 1
-        self._commands[self._last_sequence] = SentCommand(run_id, line, self._clock())
+        self._commands[self._last_sequence] = SentCommand(run_id, line, self._clock(), name)
         self._sequences_by_run.setdefault(run_id, []).append(self._last_sequence)
 
     def mark(self, cookie: str) -> None:
@@ -62,10 +64,24 @@
                 del self._sequences_by_run[command.run_id]
 
     def acknowledge_run(self, run_id: str) -> None:
-        """Drop all commands for a run, since a notice of that run has arrived."""
+        """Drop all commands for a run, since it has ended."""
         for sequence in self._sequences_by_run.pop(run_id, ()):
             del self._commands[sequence]
 
+    def acknowledge_names(self, run_id: str, names: Container[str]) -> None:
+        """Drop the commands of these names for a run.
+
+        Others may have been sent while the notice that acknowledges these was in transit.
+        """
+        remaining = []
+        for sequence in self._sequences_by_run.pop(run_id, ()):
+            if self._commands[sequence].name in names:
+                del self._commands[sequence]
+            else:
+                remaining.append(sequence)
+        if remaining:
+            self._sequences_by_run[run_id] = remaining
+
     def lines_to_resend(self) -> list[bytes]:
         """Return the commands to send again on a new link, and forget the gauge requests of the old one."""
         self._marks.clear()
--- a/tests/backends/test_runtime_link.py
+++ b/tests/backends/test_runtime_link.py
@@ -9,7 +9,7 @@
 
 from reelusher.backends.runtime import RuntimeLink
 from reelusher.core.counters import Counters
-from reelusher.core.messages import IncomingRequest, Message, RunFinished
+from reelusher.core.messages import CallRequested, IncomingRequest, Message, RunFinished
 from reelusher.policy.events import Outcome
 
 RUN_ID = "00000000000000aa"
@@ -69,3 +69,31 @@
     assert wait_until(lambda: RunFinished(RUN_ID, Outcome.ERROR) in started.posted)
     started.break_link(last_serial=1)
     assert wait_until(lambda: started.link.up)
+
+
+@pytest.mark.parametrize("command", ["stop", "cont"])
+def test_command_sent_while_a_notice_is_in_transit_is_sent_again_after_a_broken_link(
+    started: LinkUnderTest, command: str
+) -> None:
+    """Guard against a lost command: the notice acknowledged commands that the runtime had not read."""
+    send = {"stop": started.link.stop, "cont": started.link.resume}[command]
+    send(RUN_ID)
+    started.runtime.expect([command, RUN_ID])
+    started.runtime.send(["wants", RUN_ID, "call"])  # sent before the command was read
+    assert wait_until(lambda: CallRequested(RUN_ID, 1, b"call") in started.posted)
+    started.break_link(last_serial=1)
+    started.runtime.expect([command, RUN_ID])
+    started.runtime.expect(["nothing"])
+
+
+def test_rejected_command_acknowledges_no_other_command_of_its_run(started: LinkUnderTest) -> None:
+    started.link.deliver_reply(RUN_ID, b"reply")
+    started.link.stop(RUN_ID)
+    started.runtime.expect(["give", RUN_ID])
+    started.runtime.expect(["stop", RUN_ID])
+    started.runtime.send(["nack", RUN_ID, "give"])
+    assert wait_until(lambda: len(started.link._unacknowledged) == 2)
+    started.break_link(last_serial=0)
+    started.runtime.expect(["start", RUN_ID])
+    started.runtime.expect(["stop", RUN_ID])
+    started.runtime.expect(["nothing"])
