Send nothing for a run that is stopped before it has a connection

What callers saw: AJP workers ran requests that nobody waited for, and others waited behind them.

Cause: stop shuts a run's connection down; a run that was still connecting had none and went on.

Evidence: the new test stops before and during the connect; both cases failed before, the worker got the request.

Change: the run looks whether it was stopped before it connects, and again once stop can see its connection. Works since in each order one of the two threads sees the other.

--- a/reelusher/backends/ajp/worker_pool.py
+++ b/reelusher/backends/ajp/worker_pool.py
@@ -140,9 +140,9 @@
         self._pool.executor.submit(self._run, request, class_name)
 
     def stop(self, run_id: str) -> None:
-        """Stop a run by shutting its connection down, and report it as cancelled.
+        """Stop a run, and report it as cancelled.
 
-        A run that has no connection yet goes on, and is reported as cancelled when it ends.
+        Its connection is shut down. A run that has no connection yet sends nothing.
         """
         if run_id not in self._runs:
             return
@@ -190,12 +190,17 @@
         forward = forwarded_request(request, class_name)
         route = session_route(forward) if self._sticky else ""
         tried: set[str] = set()
+        if request.run_id in self._stopped:
+            return RunResult(Outcome.CANCELLED)
         while worker := pool.load_balancer.acquire(self._workers, tried, route, self._method):
             tried.add(worker.config.name)
             try:
                 connection = self._connect(worker)
                 if connection is not None:
                     self._runs[request.run_id] = connection
+                    if request.run_id in self._stopped:  # checked once `stop` can see the connection
+                        worker.release_connection(connection, reuse=False)
+                        return RunResult(Outcome.CANCELLED)
                     return self._exchange(worker, connection, request, forward)
             finally:
                 pool.load_balancer.release(worker)
