Refuse a change of tenants that does not fit before it is durable

What operators saw: a call answered 500, and the node could not start again, so all its callers found it away.

Evidence: the new test removes an unknown tenant and opens the store again; before, that raised JournalError.

--- a/reelusher/storage/tenant_state.py
+++ b/reelusher/storage/tenant_state.py
@@ -69,20 +69,26 @@
     idempotency_keys: dict[str, str] = msgspec.field(default_factory=dict, name="keys")
     version: int = msgspec.field(default=VERSION, name="v")
 
+    def check(self, number: int, change: TenantChange) -> None:
+        """Raise `UnreadableStateError` if a change does not fit this state."""
+        is_put = change.kind is ChangeKind.PUT and change.tenant is not None
+        changes_known = change.kind is not ChangeKind.PUT and change.name in self.tenants
+        if not is_put and not changes_known:
+            raise UnreadableStateError(
+                f"change {number}: {change.kind.value!r} of {change.name!r} does not fit the state"
+            )
+
     def apply(self, number: int, change: TenantChange) -> None:
         """Apply a change; raises `UnreadableStateError` if it does not fit this state."""
+        self.check(number, change)
         before = self.tenants.get(change.name)
         if change.kind is ChangeKind.PUT and change.tenant is not None:
             state = before.state if before else change.state
             self.tenants[change.name] = StoredTenant(change.tenant, state, number)
         elif change.kind is ChangeKind.SET_STATE and before is not None:
             self.tenants[change.name] = StoredTenant(before.tenant, change.state, number)
-        elif change.kind is ChangeKind.REMOVE and before is not None:
+        elif change.kind is ChangeKind.REMOVE:
             del self.tenants[change.name]
-        else:
-            raise UnreadableStateError(
-                f"change {number}: {change.kind.value!r} of {change.name!r} does not fit the state"
-            )
         self._audit(number, change, before)
         if change.idempotency_key:
             self._remember_key(change.idempotency_key, change.name)
--- a/reelusher/tenancy/tenant_store.py
+++ b/reelusher/tenancy/tenant_store.py
@@ -127,9 +127,13 @@
         state: str = "active",
         idempotency_key: str = "",
     ) -> StoredTenant | None:
-        """Make one change durable and return the tenant after it; None if removed. Raises `JournalError`."""
+        """Make one change durable and return the tenant after it; None if removed.
+
+        Raises `JournalError`, and `UnreadableStateError` if it does not fit the state.
+        """
         with self._lock:
             change = TenantChange(kind, name, actor, self._wall_ms(), tenant, state, idempotency_key)
+            self.state.check(self._number + 1, change)  # a restart could not apply it from the journal
             self._number = self.journal.append(encode(change)) if self.journal else self._number + 1
             self.state.apply(self._number, change)
             if self.journal is not None:
--- a/tests/tenancy/test_tenant_store.py
+++ b/tests/tenancy/test_tenant_store.py
@@ -10,6 +10,7 @@
 from reelusher.config import ConfigError
 from reelusher.config.operator.file import parse
 from reelusher.storage.directory import LockedDirectory
+from reelusher.storage.errors import UnreadableStateError
 from reelusher.storage.tenant_state import ChangeKind
 from reelusher.tenancy.tenant_store import TenantStore, open_store
 
@@ -70,3 +71,16 @@
         thread.join()
     numbers = sorted(stored.revision for stored in store.state.tenants.values())
     assert numbers == list(range(1, 81))
+
+
+def test_change_that_does_not_fit_is_refused_before_it_is_durable(tmp_path: Path) -> None:
+    """Guard against a node that can't start: the journal held a change that no restart could apply."""
+    store = TenantStore(LockedDirectory(tmp_path / "state"))
+    store.change(ChangeKind.PUT, "one", "x", {"name": "one"})
+    with pytest.raises(UnreadableStateError, match="'remove' of 'two' does not fit the state"):
+        store.change(ChangeKind.REMOVE, "two", "x")
+    store.change(ChangeKind.SET_STATE, "one", "x", state="suspended")
+    assert store.journal is not None
+    store.journal._directory.close()  # type: ignore[attr-defined]
+    reopened = TenantStore(LockedDirectory(tmp_path / "state"))
+    assert reopened.state == store.state
