Let a member that has left wait between its ticks

What operators saw: a draining node of a fleet ticked each millisecond until it closed, if a probe or suspicion was in progress when it left.

Cause: next_tick_s went on to return the due times of probes and suspicions, which a member that has left no longer advances.

Evidence: a new test on the virtual clock, which failed before at the third tick.

Change: once it has left, only gossip and one probe period count; FailureDetector.postpone is not needed any more.

Beside it, the secret is read before the sockets are bound: a start with an unreadable secret on a used port now names the secret (new test, failed before with the address in use).

--- a/reelusher/fleet/membership/failure_detector.py
+++ b/reelusher/fleet/membership/failure_detector.py
@@ -134,10 +134,6 @@
             times += self._probe.end_s, self._probe.indirect_due_s
         return min(times)
 
-    def postpone(self, now: float) -> None:
-        """Start no probe before one probe period has passed."""
-        self._next_probe_s = now + PROBE_PERIOD_S
-
     def reset(self) -> None:
         """Abandon the probes in progress without suspecting their targets."""
         self._probe = None
--- a/reelusher/fleet/membership/service.py
+++ b/reelusher/fleet/membership/service.py
@@ -57,6 +57,7 @@
         Raises OSError if they can't be bound, and `ConfigError` if the secret can't be used.
         """
         self._config, self._counters = config, counters
+        secret = read_secret(config.secret_file)
         incarnation = int(time.time() * 1000)
         own_address = "{}:{}".format(*config.advertise)
         seeds = [seed for seed in (f"{host}:{port}" for host, port in config.seeds) if seed != own_address]
@@ -66,7 +67,6 @@
             own_address = "{}:{}".format(*self.address)
         now = time.monotonic()
         own = Update(own_address, name, config.zone, config.region, incarnation, MemberState.ALIVE)
-        secret = read_secret(config.secret_file)
         authenticator = MessageAuthenticator(secret, config.name, own_address, incarnation)
         self._transport = UdpTransport(sock, counters)
         self._codec = MessageCodec(authenticator, counters)
--- a/reelusher/fleet/membership/swim.py
+++ b/reelusher/fleet/membership/swim.py
@@ -103,6 +103,8 @@
     def next_tick_s(self) -> float:
         """Return the time by which `tick` must be called."""
         gossip_s = self._next_gossip_s if self.gossip.has_pending() else inf
+        if self.own.state is MemberState.LEFT:  # no probe or suspicion is advanced any more
+            return min(gossip_s, self._last_tick_s + PROBE_PERIOD_S)
         return min(self.detector.next_due_s(), gossip_s, self._suspicions.next_due_s())
 
     def tick(self, now: float) -> StepResult:
@@ -111,9 +113,9 @@
         self._last_tick_s = now
         if elapsed_s > STALL_S + self.detector.local_health.score * PROBE_PERIOD_S:
             self._on_stall(elapsed_s)
-        if self.own.state is MemberState.LEFT:  # it probes no longer, but still sends pending updates
-            self.detector.postpone(now)
-        else:
+        if (
+            self.own.state is not MemberState.LEFT
+        ):  # it then probes no longer, but still sends pending updates
             self.detector.advance(now)
             self._expire_suspicions(now)
             self.detector.start_probe_if_due(now)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,6 +1,7 @@
 """Membership: merging updates, failure detection, rejected messages, and nodes on real sockets."""
 
 import json
+import socket
 import sys
 import time
 from collections import Counter
@@ -975,3 +976,31 @@
     served = [reply for reply in replies if reply and not reply.alternatives]
     assert len(served) == 5
     assert all(reply is not None for reply in replies)
+
+
+def test_member_that_has_left_during_a_probe_and_a_suspicion_waits_between_its_ticks() -> None:
+    """Guard against a draining node that spins: its next tick lay in the past until it closed."""
+    swim, now = Swim(make_update(1), Random(1), 0.0), 0.0
+    swim.merge([make_update(number) for number in range(2, 6)], now)
+    swim._apply_update(make_update(6), now)
+    swim._apply_update(make_update(6, state=MemberState.SUSPECT, accuser="127.0.0.1:2"), now)
+    while swim.detector._probe is None:
+        now = max(now, swim.next_tick_s())
+        swim.tick(now)
+    swim.leave()
+    ticks = 0
+    while now < 10.0:
+        next_s = swim.next_tick_s()
+        assert next_s > now or not ticks
+        now = max(next_s, now + 0.001)
+        swim.tick(now)
+        ticks += 1
+    assert ticks < 10.0 / 0.09 + 10.0 / PROBE_PERIOD_S
+
+
+def test_unreadable_secret_is_reported_before_any_socket_is_bound(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = taken.getsockname()
+        config = Fleet("f", address, address, (), "z", "r", str(tmp_path / "missing"))
+        with pytest.raises(ConfigError, match=r"fleet\.secret_file"):
+            Membership(config, "a", Random(1), Counters())
