Show the progress of the replicated table while members share a name

What operators saw: GET /v1/fleet/changes answered 503 at every node while two live members had one leader's name.

Cause: the page asked each leader through a call that refuses a shared name.

Evidence: a new test with three nodes, 503 before, 200 after with both addresses and no count for that leader.

Change: such a leader is not asked.

--- a/reelusher/admin/partition_api.py
+++ b/reelusher/admin/partition_api.py
@@ -1,5 +1,6 @@
 """Partitions of the replicated table over the administration API: their progress and changes of leader."""
 
+from collections import Counter
 from typing import Any
 
 from loguru import logger
@@ -74,12 +75,14 @@
     def _progress_reports(self) -> list[dict[str, Any]]:
         """Return the progress report of each partition that this node leads, or a live member that replies.
 
-        A report counts the members that have the newest change of its partition.
+        A report counts the members that have the newest change of its partition. There is none of a leader
+        whose name several live members have, since one of them may lead without knowing of the other.
         """
         table = self._table
         reports: list[dict[str, Any]] = table.replication.progress_report()
         leaders = {table.leader(partition) for partition in table.replica.control} - {table.own_name}
-        for leader in sorted(leaders & {member.name for member in self._fleet.live()}):
+        members_by_name = Counter(member.name for member in self._fleet.live())
+        for leader in sorted(leader for leader in leaders if members_by_name[leader] == 1):
             reports += self._fleet.query(leader, COUNTED_TARGET, [])
         return reports
 
--- a/tests/admin/test_replicated_api.py
+++ b/tests/admin/test_replicated_api.py
@@ -884,3 +884,22 @@
             "reelusher.upgrade",
         )
         assert [name for name in loaded if name.startswith(prefixes)] == []
+
+
+def test_progress_is_shown_while_two_live_members_share_a_leaders_name(nodes: Nodes) -> None:
+    """Guard against a 503 in just the situation that an operator looks at this page for."""
+    nodes.start("c1", "c2")
+    seed = nodes.all["c1"].parts.fleet
+    assert seed is not None
+    operator_file = config(nodes.folder, "c2", ["{}:{}".format(*seed.address)])
+    del operator_file["replication"]
+    namesake = Node(merge(None, parse(operator_file)))
+    namesake.start()
+    assert wait_until(lambda: len(seed.live()) == 3)
+    status, value, _ = nodes.call("c1", "GET", "/v1/fleet/changes")
+    namesake.close()
+    assert status == 200, value
+    streams = {stream["stream"]: stream for stream in value["streams"]}
+    assert len(streams["c2"]["holder_at"]) == 2
+    assert streams["c2"]["counted"] is None
+    assert streams["c1"]["counted"] is not None
