Log the last change of a partition in a new term as what it is

What operators saw: the line of a new term gave the position of the partition as the number of changes restored from others.

Cause: the position before the term was printed in place of a count, which the replica does not keep.

Evidence: a new test reads the line; it failed before.

Change: the line says up to which change the partition is complete.

--- a/reelusher/fleet/replication/leadership.py
+++ b/reelusher/fleet/replication/leadership.py
@@ -141,7 +141,6 @@
             self._begin_term(partition)
 
     def _begin_term(self, partition: str) -> None:
-        last_index = self.replica.states[partition].index
         try:
             position = self.replica.begin_term(partition, self.replica.own_name)
         except (NotLeaderError, ReplicaError) as error:
@@ -149,8 +148,8 @@
             return
         self._counters.add("replication.terms")
         logger.warning(
-            "replication: file of partition {} was older; {} changes restored from others, new term {}",
+            "replication: file of partition {} was older; it is complete up to change {} now, new term {}",
             partition,
-            last_index,
+            position.log_index,
             position.term,
         )
--- a/tests/test_replication_service.py
+++ b/tests/test_replication_service.py
@@ -9,6 +9,7 @@
 
 import pytest
 from helpers import wait_until
+from loguru import logger
 from replicas import CONTROL, Replicas, entry, names_of
 from test_sqlite_replica import corrupt_file
 
@@ -565,3 +566,18 @@
     request = EntriesRequest("n1", vector[0], [vector[0], 8, 0, 9, 0])
     assert fleet.handlers[EntriesRequest](request) == EntriesReply([])
     assert counters.snapshot()["replication.copy_failed"] == 1
+
+
+def test_log_line_of_a_new_term_names_the_last_change_of_the_partition(tmp_path: Path) -> None:
+    """Guard against a wrong number: the position was logged as the number of changes that were restored."""
+    fleet, clock, lines = Replicas(1, tmp_path), Clock(), list[str]()
+    for name in C1[:3]:
+        fleet.change(name)
+    sink = logger.add(lambda line: lines.append(str(line)), level="WARNING")
+    leadership = leadership_of(fleet, clock)
+    clock.now += SETTLE_S + 1
+    leadership.tick(0, False)
+    leadership._begin_term("c1")
+    logger.remove(sink)
+    assert any("it is complete up to change 3 now, new term 16" in line for line in lines), lines
+    fleet.close()
