Name what a reload that failed half way has put into use

What operators saw: a log line that the current configuration stays in use, while new settings were; and an address of the runtime that no later SIGHUP took up.

Cause: the configuration in use was recorded at the very end of a reload; RuntimeLink.move recorded the address before its thread was started.

Evidence: a new test without a thread for the move, which failed before: the recorded classes were the old ones.

Change: each step is recorded when it is done, the log line names the fields, and move takes its record back if it raises. test_reload_that_fails_half_way_is_counted is as it was and passes.

--- a/reelusher/backends/runtime.py
+++ b/reelusher/backends/runtime.py
@@ -98,12 +98,20 @@
         start_thread("runtime", self._run)
 
     def move(self, address: Address) -> None:
-        """Change the address. The old link stays in use until the new one is open; runs continue."""
+        """Change the address. The old link stays in use until the new one is open; runs continue.
+
+        Raises RuntimeError if no thread can be started; the address is then the one before.
+        """
         with self._lock:
-            if address == self._address:
-                return
-            self._address = address
-        start_thread("runtime-move", lambda: self._open_next(address))
+            previous, self._address = self._address, address
+        if address == previous:
+            return
+        try:
+            start_thread("runtime-move", lambda: self._open_next(address))
+        except RuntimeError:
+            with self._lock:
+                self._address = previous
+            raise
 
     def _open_next(self, address: Address) -> None:
         """Open a link to replace the one in use; retry until it is open or the address is obsolete."""
--- a/reelusher/reload.py
+++ b/reelusher/reload.py
@@ -13,7 +13,8 @@
 
 MAX_PENDING_RELOADS = 2  # one in progress, and one that reads the newest file after it
 ADDRESSES = ("runtime", "vault", "directory")  # fields of `Platform`
-RELOADABLE = (*ADDRESSES, "settings", "gauges", "class_names", "paths")  # fields that a reload replaces
+SETTINGS = ("settings", "gauges", "class_names")
+RELOADABLE = (*ADDRESSES, *SETTINGS, "paths")  # fields that a reload replaces
 
 
 class ReloadError(Exception):
@@ -26,6 +27,7 @@
     def __init__(self, config: Config, parts: NodeParts) -> None:
         self.config = config
         self._parts = parts
+        self._applied_fields: list[str] = []  # fields that the reload in progress has replaced
         self._in_progress = threading.Lock()
         self._pending = threading.BoundedSemaphore(MAX_PENDING_RELOADS)
 
@@ -48,6 +50,7 @@
 
     def _try_apply(self, read: Callable[[], Config]) -> bool:
         """Read and apply a configuration; return False if that fails for any reason, which is logged."""
+        self._applied_fields = []
         try:
             self._apply(read())
         except (ConfigError, ReloadError) as error:  # the file may be half written
@@ -61,7 +64,14 @@
             self._parts.counters.add("reload.done")
             return True
         self._parts.counters.add("reload.refused")
-        logger.error("reload: rejected, the current configuration stays in use: {}", reason)
+        if self._applied_fields:
+            logger.error(
+                "reload: failed half way, in use since this reload: {}; the next one takes up the rest: {}",
+                ", ".join(self._applied_fields),
+                reason,
+            )
+        else:
+            logger.error("reload: rejected, the current configuration stays in use: {}", reason)
         return False
 
     def _apply(self, config: Config) -> None:
@@ -72,13 +82,21 @@
             raise ReloadError(f"{missing_key}: missing")
         if (new.settings, new.class_names) != (current.settings, current.class_names):
             self._apply_settings(new)
+            self._adopt(new, *SETTINGS)
         self._apply_addresses(new)
-        applied = replace(current, **{name: getattr(new, name) for name in RELOADABLE})
-        if applied != new:
+        self._adopt(new, *RELOADABLE)
+        if self.config.platform != new:
             logger.warning("reload: changes other than addresses and settings take effect after a restart")
-        self.config = replace(self.config, platform=applied, settings=new.settings)
         _log_addresses(current, new)
 
+    def _adopt(self, new: Platform, *fields: str) -> None:
+        """Record that these fields of a new configuration are in use."""
+        current = self.config.platform
+        assert current is not None
+        platform = replace(current, **{name: getattr(new, name) for name in fields})
+        self.config = replace(self.config, platform=platform, settings=platform.settings)
+        self._applied_fields += fields
+
     def _apply_settings(self, platform: Platform) -> None:
         core, frontend = self._parts.core, self._parts.frontends["platform"]
         assert isinstance(frontend, RpcFrontend)
@@ -97,10 +115,13 @@
         parts = self._parts
         if parts.runtime:
             parts.runtime.move(platform.runtime)
+            self._adopt(platform, "runtime")
         if parts.downstream and platform.vault:
             parts.downstream.move(platform.vault)
+            self._adopt(platform, "vault")
         if parts.service_registry and platform.directory:
             parts.service_registry.move(platform.directory)
+            self._adopt(platform, "directory")
 
 
 def _has_other_parts(current: Platform, new: Platform) -> bool:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,8 +17,10 @@
 import pytest
 from core_harness import Backend
 from helpers import MUST_CALL, SAFE, small_node_settings, wait_until
+from loguru import logger
 from scenario import changed_settings, platform_config, scenario_environment
 
+from reelusher.backends import runtime as runtime_module
 from reelusher.backends.runtime import RuntimeLink
 from reelusher.backends.unacknowledged_commands import UnacknowledgedCommands
 from reelusher.codecs import ajp13, msgpack
@@ -507,6 +509,34 @@
     assert reloads.node.parts.core.stats.snapshot()["sighup_rejected"] == 1
 
 
+def test_reload_that_fails_half_way_names_what_is_in_use_and_the_next_one_takes_up_the_rest(
+    environment: dict[str, Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a log line that denies the change, and an address that no later reload takes up."""
+    reloads, new_settings = Reloads(environment), changed_settings({"add": "extra"})
+    node, lines = reloads.node, list[str]()
+    old_address, new_address = environment["runtime"].address, environment["runtime2"].address
+
+    def read() -> Config:
+        return reloads.read(settings=new_settings, runtime="{}:{}".format(*new_address))
+
+    def no_thread(name: str, function: Callable[[], object]) -> threading.Thread:
+        raise RuntimeError("can't start new thread")
+
+    sink = logger.add(lambda line: lines.append(str(line)), level="ERROR")
+    with monkeypatch.context() as patch:
+        patch.setattr(runtime_module, "start_thread", no_thread)
+        assert not node.reload(read)
+    logger.remove(sink)
+    assert "extra" in node.parts.core.class_names
+    platform = node.config.platform
+    assert (platform.class_names[-1], platform.runtime) == ("extra", old_address)
+    assert any("in use since this reload: settings, gauges, class_names" in line for line in lines), lines
+    assert node.reload(read)
+    environment["runtime2"].expect(["sync", "0"])
+    assert node.config.platform.runtime == new_address
+
+
 def test_reloads_behind_an_unreadable_file_use_two_threads(environment: dict[str, Any]) -> None:
     reloads, hold = Reloads(environment), threading.Event()
 
