Write to no descriptor that a closed poller has given back

What could happen: a call to a closed poller wrote eight bytes into the file or connection that had got the number of its wake-up descriptor.

Cause: the write after the close suppressed OSError only, and a reused number raises none.

Evidence: a new test takes the number again; before, it held a count of 1.

Change: write and close exclude each other under a lock, and nothing is written after the close.

--- a/reelusher/net/poller.py
+++ b/reelusher/net/poller.py
@@ -44,6 +44,8 @@
         self._callbacks: dict[int, Callback] = {}  # callbacks by descriptor
         self._calls: queue.SimpleQueue[Callback] = queue.SimpleQueue()
         self._wakeup_fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+        self._wakeup_lock = threading.Lock()  # guards the write to it and its close
+        self._released = False
         self._epoll.register(self._wakeup_fd, select.EPOLLIN)
         # heap; due time by the monotonic clock, order of creation, interval in seconds, callback
         self._timers: list[tuple[float, int, float, Callback]] = []
@@ -68,7 +70,7 @@
             self._release()
 
     def call(self, callback: Callback) -> None:
-        """Run a callback on the poller's thread. Any thread may call this."""
+        """Run a callback on the poller's thread, unless that has ended. Any thread may call this."""
         self._calls.put(callback)
         self._wake()
 
@@ -88,12 +90,17 @@
         heapq.heappush(self._timers, (time.monotonic() + seconds, next(self._order), seconds, callback))
 
     def _wake(self) -> None:
-        with contextlib.suppress(OSError):  # already closed
-            os.eventfd_write(self._wakeup_fd, 1)
+        with self._wakeup_lock:
+            if not self._released:  # the descriptor may belong to another file by now
+                os.eventfd_write(self._wakeup_fd, 1)
 
     def _release(self) -> None:
-        self._epoll.close()
-        os.close(self._wakeup_fd)
+        with self._wakeup_lock:
+            if self._released:
+                return
+            self._released = True
+            self._epoll.close()
+            os.close(self._wakeup_fd)
 
     def _run(self) -> None:
         while not self._closed:
--- a/tests/drain/test_poller_during_drain.py
+++ b/tests/drain/test_poller_during_drain.py
@@ -1,10 +1,13 @@
 """What drains rely on: timers and calls of the poller run on time, and send buffers are sent completely."""
 
+import os
 import socket
 import threading
 import time
 from itertools import pairwise
 
+import pytest
+
 from reelusher.core.counters import Counters
 from reelusher.net.poller import Poller
 from reelusher.net.send_buffer import SendBuffer
@@ -95,3 +98,23 @@
     poller.close()
     near.close()
     far.close()
+
+
+def test_call_after_the_close_writes_to_no_descriptor_that_was_reused() -> None:
+    """Guard against 8 bytes written to another connection or file, which reuses the closed descriptor."""
+    poller = Poller("test-poller", Counters())
+    wakeup_fd = poller._wakeup_fd
+    poller.start()
+    poller.close()
+    assert poller._thread is not None
+    poller._thread.join(10)
+    reused, others = -1, list[int]()
+    while reused != wakeup_fd:  # the lowest free descriptor comes next
+        reused = os.eventfd(0, os.EFD_NONBLOCK)
+        others.append(reused)
+    poller.call(lambda: None)
+    poller.close()
+    with pytest.raises(BlockingIOError):
+        os.eventfd_read(reused)
+    for descriptor in others:
+        os.close(descriptor)
