Read a connection before it is given up as idle, silent or evictable

What callers saw: after a pause of the node, lastCall on connections whose requests it had received and not read; they reconnected all at once. No request was lost.

Cause: the periodic check runs before the sockets are read, and compared with the time of the last message that was read; only the close after the notice read first.

Change: one read decides whether such a connection is still idle.

--- a/reelusher/frontends/rpc/frontend.py
+++ b/reelusher/frontends/rpc/frontend.py
@@ -224,6 +224,8 @@
         ]
         evicted = heapq.nsmallest(max(self.max_connections // EVICTION_DIVISOR, 1), candidates)
         for *_, connection in evicted:
+            if not self._is_still_idle(connection):
+                continue
             self._core.counters.add("platform.closed_for_room")
             if connection.send_buffer.backlog:
                 connection.send_buffer.close()
@@ -447,11 +449,22 @@
             if idle_s and now - connection.last_call_s > close_s:
                 self._close_idle(connection)
         elif not connection.messages_read and idle_s > SILENT_S:
-            self._core.counters.add("platform.closed_silent")
-            connection.send_last_call(now)
+            if self._is_still_idle(connection):
+                self._core.counters.add("platform.closed_silent")
+                connection.send_last_call(now)
         elif idle_s > (limits.used_once_s if connection.messages_read == 1 else limits.idle_s):
-            self._core.counters.add("platform.closed_idle")
-            connection.send_last_call(now)
+            if self._is_still_idle(connection):
+                self._core.counters.add("platform.closed_idle")
+                connection.send_last_call(now)
+
+    def _is_still_idle(self, connection: Connection) -> bool:
+        """Read what a connection has received, and return whether that is nothing.
+
+        On a busy processor, received requests may be unread although its idle time is over.
+        """
+        before = connection.messages_read, connection.partial_since_s
+        self.read_pending(connection)
+        return not connection.ended and before == (connection.messages_read, connection.partial_since_s)
 
     def _end_rejecting(self, connection: Connection, now: float) -> None:
         """End a connection `LINGER_S` after it began to reject all requests."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -209,6 +209,32 @@
     assert peer.answer()[1] == 1
 
 
+@pytest.mark.parametrize("reason", ["silent", "idle", "no room"])
+def test_connection_with_an_unread_request_is_sent_no_last_call(
+    environment: dict[str, Any], reason: str
+) -> None:
+    """Guard against a connection that its caller has to give up: after a pause, requests may be unread."""
+    frontend, peer = caller_frontend(environment), Peer(environment["node"].node)
+    connection = only_connection(frontend)
+    if reason != "silent":
+        peer.send(1, method="health")
+        assert peer.answer()[1] == 1
+
+    def check_late() -> None:
+        connection.last_used_s = time.monotonic() - 10
+        peer.send(2, method="health")
+        assert wait_until(lambda: unread_bytes(connection.sock) > 0)
+        if reason == "no room":
+            frontend._evict_idle()
+        else:
+            frontend._check(connection, time.monotonic(), IdleLimits(5.0, 5.0, 5.0))
+
+    on_poller(frontend, check_late)
+    peer.send(3, method="health")
+    assert [peer.answer()[:2] for _ in range(2)] == [[1, 2], [1, 3]]  # no notice, which would begin with 2
+    assert frontend.open_connections() == 1
+
+
 def test_close_waits_for_the_writer_of_an_empty_send_buffer(environment: dict[str, Any]) -> None:
     """The buffer is empty, but its writer has not ended yet, so the connection can't be half-closed."""
     frontend, peer = caller_frontend(environment), Peer(environment["node"].node, health_checks=1)
