Choose the idle limit of a connection in a function of its own

The limit of a connection without a message is the shorter of the two that were compared before; one place sends the notice and counts why.

--- a/reelusher/frontends/rpc/frontend.py
+++ b/reelusher/frontends/rpc/frontend.py
@@ -448,14 +448,15 @@
             close_s = limits.close_s if connection.messages_read else SILENT_CLOSE_S
             if idle_s and now - connection.last_call_s > close_s:
                 self._close_idle(connection)
-        elif not connection.messages_read and idle_s > SILENT_S:
-            if self._is_still_idle(connection):
-                self._core.counters.add("platform.closed_silent")
-                connection.send_last_call(now)
-        elif idle_s > (limits.used_once_s if connection.messages_read == 1 else limits.idle_s):
-            if self._is_still_idle(connection):
-                self._core.counters.add("platform.closed_idle")
-                connection.send_last_call(now)
+        elif idle_s > _idle_limit_s(connection, limits) and self._is_still_idle(connection):
+            self._announce_close(connection, now)
+
+    def _announce_close(self, connection: Connection, now: float) -> None:
+        if connection.messages_read:
+            self._core.counters.add("platform.closed_idle")
+        else:
+            self._core.counters.add("platform.closed_silent")
+        connection.send_last_call(now)
 
     def _is_still_idle(self, connection: Connection) -> bool:
         """Read what a connection has received, and return whether that is nothing.
@@ -481,6 +482,13 @@
             self._end(connection, peer_closed=False)
 
 
+def _idle_limit_s(connection: Connection, limits: IdleLimits) -> float:
+    """Return the idle time in seconds after which a connection is sent `lastCall`."""
+    if not connection.messages_read:
+        return min(SILENT_S, limits.idle_s)
+    return limits.used_once_s if connection.messages_read == 1 else limits.idle_s
+
+
 def _is_evictable(connection: Connection, now: float) -> bool:
     """Return whether a connection may be closed to make room for a new one."""
     if connection.unanswered or connection.ended or connection.rejecting_since_s:
