Play the recorded exchange on a clock that the test moves

Cause: the node advertises its capacity from its first tick on, 100 ms after the start; the play ran on the real clock and was usually over by then.

Change: node and callers of the play use a clock that stands still unless the test moves it.

--- a/tests/golden/test_exchanges.py
+++ b/tests/golden/test_exchanges.py
@@ -1,6 +1,8 @@
 """The bytes that the node sends to runtime, vault, catalog, workers and callers, byte for byte."""
 
+import contextlib
 import re
+import time
 from collections.abc import Iterator
 from random import Random
 from typing import Any
@@ -9,12 +11,16 @@
 import pytest
 import scenario
 from helpers import wait_until
+from scenario import scenario_environment
 
 from golden.recordings import load
+from reelusher.assembly import parts
 from reelusher.backends.runtime import RuntimeLink
 from reelusher.codecs.lines import JsonLineDecoder
+from reelusher.core.clock import Clock
 from reelusher.core.counters import Counters
 from reelusher.core.messages import IncomingRequest
+from reelusher.policy.timing import PERIOD_US
 
 GOLDEN = "exchanges.json"
 SCENARIO = """
@@ -55,6 +61,31 @@
 )
 
 
+class SteppedClock:
+    """The clock of a node and its callers, which stands still unless the test moves it.
+
+    The node's first tick comes `PERIOD_US` after its start, and changes all answers after it.
+    """
+
+    def __init__(self) -> None:
+        self.now_ns = time.time_ns()
+
+    def time_ns(self) -> int:
+        return self.now_ns
+
+    def node_clock(self) -> Clock:
+        return Clock(self.time_ns, self.time_ns)
+
+    @contextlib.contextmanager
+    def environment_after_a_tick(self, folder: str, changes: dict[str, str]) -> Iterator[dict[str, Any]]:
+        """Yield the environment of a scenario once the node has processed its first tick."""
+        with scenario_environment(folder, changes) as environment:
+            self.now_ns += PERIOD_US * 1000
+            notices = environment["node"].node.parts.core.notices
+            assert wait_until(lambda: notices.advertised_capacity is not None)
+            yield environment
+
+
 class Recorder:
     """A decoder that also stores the bytes that it is fed."""
 
@@ -67,9 +98,13 @@
         return messages
 
 
-def play_scenario() -> dict[str, str]:
-    """Play the scenario; return the bytes that each class of stand-ins read, decoded as Latin-1."""
+def play_scenario(after_a_tick: bool = False) -> dict[str, str]:
+    """Play the scenario; return the bytes that each class of stand-ins read, decoded as Latin-1.
+
+    It is played before the first tick of the node, or between the first and the second one.
+    """
     read: dict[str, bytearray] = {}
+    clock = SteppedClock()
     original = parties.StandIn.start_reader
 
     def start_recorded_reader(self: parties.StandIn, decoder: Any, describe: Any, sock: Any) -> None:
@@ -78,6 +113,10 @@
 
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(parties.StandIn, "start_reader", start_recorded_reader)
+        patch.setattr(parts, "Clock", clock.node_clock)
+        patch.setattr(parties, "unix_ns", clock.time_ns)
+        if after_a_tick:
+            patch.setattr(scenario, "scenario_environment", clock.environment_after_a_tick)
         scenario.play(SCENARIO)
     texts = {name: data.decode("latin-1") for name, data in read.items() if data}
     for pattern, replacement in VARYING:
@@ -110,15 +149,26 @@
 
 def sent_bytes() -> dict[str, Any]:
     """Return all recorded bytes, as they are sent now."""
-    return {"scenario": play_scenario(), "commands": send_commands()}
+    return {
+        "scenario": play_scenario(),
+        "scenario_after_a_tick": play_scenario(after_a_tick=True),
+        "commands": send_commands(),
+    }
 
 
 def test_a_recorded_exchange_is_the_same_byte_for_byte() -> None:
-    recorded = load(GOLDEN)["scenario"]
-    sent = play_scenario()
+    check_scenario("scenario", play_scenario())
+
+
+def test_a_recorded_exchange_after_the_first_tick_is_the_same_byte_for_byte() -> None:
+    check_scenario("scenario_after_a_tick", play_scenario(after_a_tick=True))
+
+
+def check_scenario(name: str, sent: dict[str, str]) -> None:
+    recorded = load(GOLDEN)[name]
     assert sent.keys() == recorded.keys()
-    for name, text in sent.items():
-        assert text == recorded[name], name
+    for stand_in, text in sent.items():
+        assert text == recorded[stand_in], stand_in
 
 
 def test_commands_to_the_runtime_are_the_recorded_ones() -> None:
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -19,6 +19,7 @@
 from reelusher.lab.fleet.wires import DownstreamCallDecoder
 
 EXPECT_TIMEOUT_S = 10.0  # generous, so that the verdict is the same on a busy machine
+unix_ns = time.time_ns  # the clock of the callers, in nanoseconds
 QUIET_S = 0.3  # how long `expect nothing` waits for a message that must not be sent
 Words = list[str]
 
@@ -179,7 +180,7 @@
             "txn": options.pop("txn", f"{next(self.environment['count']):016x}"),
             "lb": "1",
             "ram": "10",
-            "door": str(time.time_ns() // 1_000_000 - int(options.pop("age", 0))),
+            "door": str(unix_ns() // 1_000_000 - int(options.pop("age", 0))),
             "cpu": "5",
         }
         body = expand_body(options.pop("body", "body"))
