Count each way in which a caller's connection ends

Cause for it: when the known failure of sent answers came, no counter told whether the connection had ended, and why. Closes for too many unread answers, by the caller and by a reset were not counted.

Change: platform.closed_backlog, closed_by_caller and closed_broken; the tests of crossings print all counters and the state of open connections when they end, which pytest shows for a failure.

Result: a new test ends a connection in each of the three ways.

--- a/reelusher/frontends/rpc/frontend.py
+++ b/reelusher/frontends/rpc/frontend.py
@@ -253,6 +253,7 @@
             self._release_broken(connection)
             return False
         if not data:
+            self._count_end_of_reading(connection)
             self._end(connection, peer_closed=True)
             return False
         if connection.send_buffer.closed:  # answers can't be sent any more, so no requests are run either
@@ -347,6 +348,13 @@
 
     # Ending
 
+    def _count_end_of_reading(self, connection: Connection) -> None:
+        """Count why nothing more can be read, unless the node has closed the connection and counted that."""
+        if connection.send_buffer.overflowed:
+            self._core.counters.add("platform.closed_backlog")
+        elif not connection.send_buffer.closed:
+            self._core.counters.add("platform.closed_by_caller")
+
     def _end(self, connection: Connection, peer_closed: bool) -> None:
         """Read nothing more from a connection; its open requests are still answered.
 
@@ -380,6 +388,7 @@
         """Release a broken connection, and tell the core that no answers can be sent on it."""
         with connection.lock:
             run_ids = tuple(run_id for run_id in connection.open_requests.values() if run_id)
+        self._core.counters.add("platform.closed_broken")
         self._release(connection)
         if run_ids:
             self._core.post(CallersDisconnected(run_ids))
--- a/reelusher/net/send_buffer.py
+++ b/reelusher/net/send_buffer.py
@@ -52,6 +52,7 @@
         # when the writer last sent an entry of the backlog completely, or when the backlog began
         self._progress_s = 0.0
         self.closed = False
+        self.overflowed = False  # whether it was closed because its backlog exceeded a limit
 
     @property
     def backlog(self) -> int:
@@ -91,6 +92,7 @@
     def _enqueue(self, data: bytes) -> bool:
         """Append to the backlog, with the lock held; close and return False if that is not possible."""
         if self._backlog + len(data) > self._limit or not self._budget.try_acquire(len(data)):
+            self.overflowed = True
             self._close()
             return False
         if not self._backlog:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -103,6 +103,14 @@
     changes = dict(getattr(request, "param", {}))
     with tempfile.TemporaryDirectory() as folder, scenario_environment(folder, changes) as running:
         yield running
+        print_connections(running)  # pytest shows it if the test has failed
+
+
+def print_connections(environment: dict[str, Any]) -> None:
+    """Print how connections of callers have ended, and the state of those that are open."""
+    print("counters:", environment["node"].node.parts.counters.summary())
+    for connection in caller_frontend(environment).connections():
+        print("open:", connection.state, connection.messages_read, "messages read, ended:", connection.ended)
 
 
 def caller_frontend(environment: dict[str, Any]) -> RpcFrontend:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -6,6 +6,7 @@
 import queue
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import time
@@ -16,7 +17,7 @@
 import pytest
 import scenario
 from core_harness import Backend
-from helpers import small_node_settings
+from helpers import small_node_settings, wait_until
 
 from reelusher.backends import downstream_client
 from reelusher.backends.unacknowledged_commands import UnacknowledgedCommands
@@ -583,3 +584,29 @@
         second.sendall(b"aa yes 3\r\nnew\r\n")
         assert messages.get(timeout=10) == CallFinished("aa", 2, Outcome.OK, b"new")
         client.close()
+
+
+def test_end_of_a_connection_is_counted_by_its_cause() -> None:
+    """Guard against a connection that ended for a reason which no counter tells."""
+    counters = Counters()
+    core = Core(small_node_settings(), [], 1, Backend(), counters=counters)
+    front = RpcFrontend(core, ("127.0.0.1", 0), "t", 32, 1 << 20)
+    front.start()
+    ends = {"closed_by_caller": 0, "closed_broken": 0, "closed_backlog": 0}
+    for cause in ends:
+        far = socket.create_connection(front.address, 10)
+        far.sendall(msgpack.pack([0, 1, "health", [{}]]))
+        assert far.recv(100)
+        (connection,) = front.connections()
+        if cause == "closed_broken":
+            far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if cause == "closed_backlog":
+            connection.send_buffer.send(b"x" * (64 << 20))
+        else:
+            far.close()
+        assert wait_until(lambda: front.open_connections() == 0)
+        far.close()
+        ends[cause] += 1
+        counted = counters.snapshot()
+        assert {name: counted.get(f"platform.{name}", 0) for name in ends} == ends
+    front.close()
