Tell both sides of each other when a seed joins after its own joiners

Cause: a seed answers joins before it has joined. When it joined, it sent its own state only and broadcast nothing of what it got, so the members that had joined through it and the rest learned of each other only by the comparison of states 0.5 to 3 s later.

Change: a member that others have joined through sends its whole state and broadcasts what it receives.

--- a/reelusher/fleet/membership/state_sync.py
+++ b/reelusher/fleet/membership/state_sync.py
@@ -55,6 +55,7 @@
         self._random, self._counters, self._deliver = random, counters, deliver
         self.state_reply_limiter = TokenBucket(STATE_REPLIES_PER_S, STATE_REPLY_BURST, time.monotonic())
         self.joined = not seeds
+        self._has_joiners = False  # whether others have joined through this member before it has
         self._stop = threading.Event()
         self._wake = threading.Event()
         channel.handlers[StateRequest] = self._on_state_request
@@ -140,22 +141,29 @@
     def exchange(self, address: str) -> StateReply | None:
         """Exchange full states with a member; return None if it does not reply."""
         with self._lock:
-            # before it has joined, a member knows only others that its seeds know already
-            updates = self._swim.full_state() if self.joined else [self._swim.own]
+            # before it has joined, a member knows only others that its seeds know already, and its joiners
+            knows_more = self.joined or self._has_joiners
+            updates = self._swim.full_state() if knows_more else [self._swim.own]
             request = StateRequest(self._swim.own.address, updates)
         return self._merge(self._channel.request(address, request, StateReply))
 
     def _merge(self, reply: StateReply | None) -> StateReply | None:
         if reply is not None:
             with self._lock:
-                merge = self._swim.merge if self.joined else self._swim.join
-                result = merge(reply.updates, time.monotonic())
+                result = self._merge_updates(reply.updates, time.monotonic())
             self._deliver(result)
         return reply
 
+    def _merge_updates(self, updates: list[Update], now: float) -> StepResult:
+        if self.joined:
+            return self._swim.merge(updates, now)
+        return self._swim.join(updates, now, self._has_joiners)
+
     # Requests of other members
 
     def _on_state_request(self, request: StateRequest) -> StateReply:
+        with self._lock:
+            self._has_joiners = self._has_joiners or not self.joined
         return self._reply_with(request, self._swim.full_state)
 
     def _on_buckets_request(self, request: BucketsRequest) -> StateReply:
--- a/reelusher/fleet/membership/swim.py
+++ b/reelusher/fleet/membership/swim.py
@@ -274,15 +274,16 @@
             return member.update  # another node considers it alive: if it is, it refutes its death
         return None
 
-    def join(self, updates: Iterable[Update], now: float) -> StepResult:
+    def join(self, updates: Iterable[Update], now: float, has_joiners: bool = False) -> StepResult:
         """Merge the full state of the member through which this one joins.
 
-        The fleet knows that state already, so only what it lacks is broadcast: others may have joined through
-        this member before.
+        The fleet knows that state already, so only what it lacks is broadcast. If others have joined through
+        this member before, `has_joiners`, they don't know it, and it is broadcast too.
         """
         received = {update.address: update for update in updates}
         result = self.merge(received.values(), now)
-        self.gossip.broadcasts.discard_known(received)
+        if not has_joiners:
+            self.gossip.broadcasts.discard_known(received)
         self.gossip.broadcasts.add(self.own)
         return result
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import sys
+import threading
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -917,6 +918,33 @@
     assert first._counters.snapshot()["fleet.refused_forged"] > 0
 
 
+def test_seed_that_joins_late_brings_the_members_on_both_sides_together(
+    start: Callable[..., Membership], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against members that learn of each other seconds after a start of all at once.
+
+    Some had joined through a seed that had not joined itself. When it did, it told neither side of the other.
+    """
+    monkeypatch.setattr(state_sync, "FIRST_SYNC_DELAY_S", (60.0, 60.0))  # only the join may tell them
+    hold, run = threading.Event(), state_sync.StateSync.run
+
+    def run_late(sync: state_sync.StateSync) -> None:
+        if sync._swim.own.name == "a":
+            assert hold.wait(20)
+        run(sync)
+
+    monkeypatch.setattr(state_sync.StateSync, "run", run_late)
+    first = start("c", [])
+    late = start("a", [first])
+    everyone = [first, late, start("b", [late]), start("d", [first])]
+    assert wait_until(
+        lambda: [names(node)[0] + names(node)[-1] for node in everyone] == ["cd", "ab", "ab", "cd"]
+    )
+    assert wait_until(lambda: not any(node._swim.gossip.broadcasts for node in everyone))
+    hold.set()
+    assert wait_until(lambda: all(names(node) == ["a", "b", "c", "d"] for node in everyone))
+
+
 def test_live_nodes_with_one_name_are_reported_and_both_kept(start: Callable[..., Membership]) -> None:
     first = start("a", [])
     start("b", [first])
