Evict connections that are read no more and whose answers nobody reads

What callers saw: Full from a node whose table was held by callers that had sent half a request and read no answers, for the longest deadline.

Cause: a connection that is read no more was never evicted; it goes when its answers are sent, or have stalled for the longest deadline.

Change: it is evicted once its backlog has stalled for MAX_FRAME_S, as an open one is.

Each caller of the test now begins as it connects; its assertion is as it was. It shares its set-up with the new test.

--- a/reelusher/frontends/rpc/frontend.py
+++ b/reelusher/frontends/rpc/frontend.py
@@ -224,13 +224,9 @@
         ]
         evicted = heapq.nsmallest(max(self.max_connections // EVICTION_DIVISOR, 1), candidates)
         for *_, connection in evicted:
-            if not self._is_still_idle(connection):
-                continue
-            self._core.counters.add("platform.closed_for_room")
-            if connection.send_buffer.backlog:
-                connection.send_buffer.close()
-            connection.send_last_call(now)
-            self._close_idle(connection)
+            if connection.ended or self._is_still_idle(connection):
+                self._core.counters.add("platform.closed_for_room")
+                self._evict(connection, now)
         if evicted:
             self._core.counters.warn(
                 "platform.full",
@@ -239,6 +235,15 @@
             )
         return len(self._connections) < self.max_connections
 
+    def _evict(self, connection: Connection, now: float) -> None:
+        if connection.send_buffer.backlog:
+            connection.send_buffer.close()
+        if connection.ended:
+            self._release(connection)
+            return
+        connection.send_last_call(now)
+        self._close_idle(connection)
+
     # Reading
 
     def _read(self, connection: Connection) -> bool:
@@ -500,10 +505,12 @@
 
 def _is_evictable(connection: Connection, now: float) -> bool:
     """Return whether a connection may be closed to make room for a new one."""
-    if connection.unanswered or connection.ended or connection.rejecting_since_s:
+    if connection.unanswered or connection.rejecting_since_s:
         return False
     if connection.send_buffer.backlog and connection.send_buffer.stalled_for(now) <= MAX_FRAME_S:
         return False
+    if connection.ended:  # nothing is read any more; without a backlog it is about to be closed
+        return connection.send_buffer.backlog > 0
     in_use_until_s = max(connection.last_used_s, connection.partial_since_s + PARTIAL_PROTECTED_S)
     return now - in_use_until_s > MIN_IDLE_S
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -311,12 +311,10 @@
     assert web_server.recv(100) == b""
 
 
-@pytest.mark.parametrize("environment", [{"sockets": "32"}], indirect=True)
-def test_callers_that_read_no_answers_do_not_keep_their_connections(
-    environment: dict[str, Any], monkeypatch: pytest.MonkeyPatch
-) -> None:
+def use_small_send_buffers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let the kernel take few bytes of the answers on each connection, and shorten `MAX_FRAME_S`."""
     monkeypatch.setattr(rpc_frontend, "MAX_FRAME_S", 0.2)
-    frontend, accept = caller_frontend(environment), Listener.accept
+    accept = Listener.accept
 
     def accept_with_small_buffer(listener: Listener) -> tuple[socket.socket, Address] | None:
         accepted = accept(listener)
@@ -325,21 +323,66 @@
         return accepted
 
     monkeypatch.setattr(Listener, "accept", accept_with_small_buffer)
-    silent_peers = [
-        Peer(environment["node"].node, receive_bytes=2048) for _ in range(frontend.max_connections)
-    ]
+
+
+def fill_with_unread_answers(environment: dict[str, Any], monkeypatch: pytest.MonkeyPatch) -> list[Peer]:
+    """Open all connections that the node accepts, each with answers that it can't send.
+
+    Each sends requests as soon as it is connected: in a full table, the node closes connections that are
+    silent for a second.
+    """
+    use_small_send_buffers(monkeypatch)
+    frontend = caller_frontend(environment)
+    silent_peers: list[Peer] = []
     requests = request_bytes(1, "health") * 500
-    for peer in silent_peers:  # until the node holds answers that it can't send
-        peer.sock.settimeout(0.05)
+    for count in range(1, frontend.max_connections + 1):
+        silent_peers.append(Peer(environment["node"].node, receive_bytes=2048))
+        silent_peers[-1].sock.settimeout(0.05)
         with pytest.raises(TimeoutError):
             while True:
-                peer.sock.sendall(requests)
-                if frontend.open_connections() and all(
+                silent_peers[-1].sock.sendall(requests)
+                if frontend.open_connections() == count and all(
                     connection.send_buffer.backlog for connection in frontend.connections()
                 ):
                     raise TimeoutError
+    return silent_peers
+
+
+@pytest.mark.parametrize("environment", [{"sockets": "32"}], indirect=True)
+def test_callers_that_read_no_answers_do_not_keep_their_connections(
+    environment: dict[str, Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    silent_peers = fill_with_unread_answers(environment, monkeypatch)
     later = [Peer(environment["node"].node, health_checks=1) for _ in range(rpc_frontend.MAX_SPARE + 4)]
     assert [peer.answer()[1] for peer in later] == [1] * len(later)
+    assert silent_peers
+
+
+@pytest.mark.parametrize("environment", [{"sockets": "32"}], indirect=True)
+def test_connections_that_are_read_no_more_and_read_no_answers_make_room(
+    environment: dict[str, Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a table that stays full for the longest deadline: these were never evicted."""
+    use_small_send_buffers(monkeypatch)
+    frontend, node = caller_frontend(environment), environment["node"].node
+    silent_peers = [Peer(node, 2048, health_checks=1) for _ in range(frontend.max_connections)]
+    assert wait_until(lambda: len(frontend.connections()) == len(silent_peers))
+
+    def end_with_backlog() -> None:
+        for connection in frontend.connections():
+            connection.send_buffer.send(bytes(200_000))
+            frontend._end(connection, peer_closed=False)
+
+    on_poller(frontend, end_with_backlog)
+    connections = frontend.connections()
+    assert all(connection.send_buffer.backlog for connection in connections)
+    assert wait_until(
+        lambda: all(c.send_buffer.stalled_for(time.monotonic()) > 0.3 for c in connections), timeout_s=5
+    )
+    peer = Peer(node)
+    peer.send(1)
+    environment["runtime"].expect(["start", "*", "slot-search"])
+    assert "platform.turned_away" not in node.parts.counters.snapshot()
 
 
 def test_flood_on_a_closing_connection_delays_no_other(environment: dict[str, Any]) -> None:
