Add a seeded soak of real processes with signals, faults and bad clients

Cause for it: the known failures came from single crossings; nothing played signals in series, restarts, reloads, faults of links and misbehaving clients together on real processes and checked the whole history.

Change: tests/soak draws each run from its seed (restarts with HUP and TERM in series, cut, silent, reset and slow links to runtime, downstream service, registry and callers, surges, crowds, malformed, half, silent and half-closed clients, broken and new settings; half of the runs have callers that use their connections until the node closes them) and plays it on the rig with stand-ins and fault proxies. Checked: one answer in time, no close under a request, results of runs, a key once in its window also across processes, nothing run after the grace, exit 0 before the kill, start within 10 s, descriptors, memory, key locks, and the log.

Not in it yet: the AJP front, hand-over while both processes live, full disk and failing sync.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run sim sites
+.PHONY: build test lint run sim sites soak
 
 build:
 	test -x .venv/bin/python || python3 -m venv .venv
@@ -15,8 +15,9 @@
 LONG = tests/test_membership.py tests/tenancy/test_fair_queue.py
 TABLE = tests/test_replication.py tests/test_sqlite_replica.py tests/tenancy/test_tenant_cache.py tests/tenancy/test_index.py \
 	tests/admin/test_replicated_api.py tests/test_replication_service.py tests/test_capacity.py tests/test_capacity_model.py
+SOAK = tests/soak
 ALONE = tests/test_fleet_ramp.py tests/test_ready.py
-LANES = RIG LONG TABLE
+LANES = RIG LONG TABLE SOAK
 PYTEST = .venv/bin/python -m pytest -q
 test: lint
 	@logs=$$(mktemp -d); pids=; failed=0; \
@@ -26,6 +27,13 @@
 	$(PYTEST) $(ALONE) || failed=1; \
 	exit $$failed
 
+# One run of real processes for each seed from FIRST on, each with SECONDS of load.
+SEEDS = 50
+FIRST = 1
+SECONDS = 12
+soak:
+	PYTHONPATH=.:tests .venv/bin/python -m soak --seeds $(SEEDS) --first $(FIRST) --seconds $(SECONDS)
+
 # One arena: with one for each few threads, memory that short-lived threads free is not given to others.
 run:
 	MALLOC_ARENA_MAX=1 exec .venv/bin/python -O -m reelusher
--- a/reelusher/lab/fleet/processes.py
+++ b/reelusher/lab/fleet/processes.py
@@ -97,6 +97,7 @@
         self.running: dict[str, subprocess.Popen[bytes]] = {}
         self.configs: dict[str, dict[str, Any]] = {}
         self.operator_files: dict[str, Path] = {}  # of nodes that are members of a fleet
+        self.environment: dict[str, str] = {}  # variables that all nodes get beside those of this process
 
     def __enter__(self) -> "Processes":
         return self
@@ -157,6 +158,7 @@
                 cwd=ROOT,
                 env={
                     **os.environ,
+                    **self.environment,
                     "PROXY_CONFIG": str(path),
                     **(
                         {"REELUSHER_OPERATOR": str(self.operator_files[name])}
--- a/reelusher/lab/fleet/rig.py
+++ b/reelusher/lab/fleet/rig.py
@@ -105,13 +105,12 @@
             while self.loop.time() < deadline_s and not history.is_settled():
                 await asyncio.sleep(SNAPSHOT_INTERVAL_S)
             history.check_unanswered(self.loop.time())
+            await self.after_load()
             self.membership_observer.stop(history.load_start_s)  # nodes leave from here on
             await asyncio.gather(
                 *(self._stop_node(name) for name in self.node_addresses if self.processes.is_alive(name))
             )
-            for name in self.node_addresses:
-                if any(word in self.processes.log(name) for word in LOG_FAULT_MARKERS):
-                    self.history.violations.append(f"{name} logged a fault")
+            self.check_logs()
         finally:
             self.membership_observer.stop(history.load_start_s)
             history.membership = self.membership_observer
@@ -120,6 +119,15 @@
                 server.close()
         return history
 
+    async def after_load(self) -> None:
+        """Do nothing; subclasses check what the nodes hold after the load."""
+
+    def check_logs(self) -> None:
+        """Record a violation for each node whose log tells of a fault."""
+        for name in self.node_addresses:
+            if any(word in self.processes.log(name) for word in LOG_FAULT_MARKERS):
+                self.history.violations.append(f"{name} logged a fault")
+
     def _measure_lag(self, due_s: float) -> None:
         """Record how late this process is: it sees the actions of others that much later."""
         now = self.loop.time()
--- a/reelusher/lab/fleet/stage.py
+++ b/reelusher/lab/fleet/stage.py
@@ -16,7 +16,7 @@
     """One run of a plan on a scheduler. Subclasses define how nodes and links are controlled."""
 
     def __init__(self, plan: Plan, scheduler: Scheduler) -> None:
-        self.plan, self.scheduler, self.history = plan, scheduler, RunHistory(plan)
+        self.plan, self.scheduler, self.history = plan, scheduler, self.make_history(plan)
         self.history.load_start_s = scheduler.time()
         classes = {request_class.name: request_class for request_class in plan.classes}
         self.registry = ServiceRegistry(scheduler, plan.registry, self.history)
@@ -33,6 +33,10 @@
         self.restarted_nodes: set[str] = set()  # that have started more than once
         self.paused_since_s: dict[str, float] = {}  # of nodes that are paused now
 
+    def make_history(self, plan: Plan) -> RunHistory:
+        """Return the history that the run is recorded in."""
+        return RunHistory(plan)
+
     def downstream_of(self, name: str) -> str:
         """Return the name of the downstream service that a node calls."""
         return f"below.{self.zone_of[name]}" if self.plan.downstream.per_zone else "below"
--- a/reelusher/lab/fleet/wires.py
+++ b/reelusher/lab/fleet/wires.py
@@ -20,6 +20,8 @@
 MAX_KEPT_NOTICES = 4000  # of one runtime, for resending after a reconnect
 # a request sent at most this long before the node closed may have arrived too late, and then it never ran
 MAX_CROSSING_S = 0.05
+NOTICE = 2  # the type of a MessagePack-RPC message that expects no answer
+LAST_CALL_NOTICE = "lastCall"
 VERDICTS = {"Full": "refused"}
 
 
@@ -244,9 +246,10 @@
 
     def handle_data(self, data: bytes) -> None:
         for message in self.decoder.feed(data):
-            if message[0] == 2:  # the last-call notice: send no more requests on this connection
-                self.last_call_received = True
-                self.on_unusable(self)
+            if message[0] == NOTICE:
+                if self.is_last_call(message):  # no more requests may be sent on this connection
+                    self.last_call_received = True
+                    self.on_unusable(self)
                 continue
             _, message_id, error, result = message
             attempt = self.open_attempts.pop(message_id, None)
@@ -266,6 +269,10 @@
         if self.last_call_received and not self.open_attempts:
             self.transport.close()
 
+    def is_last_call(self, message: list[Any]) -> bool:
+        """Return whether a notice asks the caller to send no more requests on its connection."""
+        return bool(message[1] == LAST_CALL_NOTICE)
+
     def connection_lost(self, error: Exception | None) -> None:
         self.on_unusable(self)
         now = self.caller.scheduler.time()
