Remove the unfinished file of a key lock that can't be written

What operators saw: with a full disk, a file for each keyed request stayed in the temporary folder for good.

Cause: a failed write left its temporary file, and the search for expired locks leaves files that it can't read.

Evidence: a new test with a disk that takes ten bytes; failed before.

Change: the unfinished file is removed, and the error goes on as before.

--- a/reelusher/upgrade/key_lock_directory.py
+++ b/reelusher/upgrade/key_lock_directory.py
@@ -90,11 +90,18 @@
             self.write(key, replace(lock, state=state, result=result))
 
     def write(self, key: IdempotencyKey, lock: KeyLock) -> None:
-        """Replace the file of a key atomically, since another process may read it at any moment."""
+        """Replace the file of a key atomically, since another process may read it at any moment.
+
+        Raises OSError if that fails; the file is then as it was.
+        """
         path = self.path(key)
         temporary_path = path.with_suffix(f".{os.getpid()}")
-        temporary_path.write_text(json.dumps(_to_fields(lock), separators=(",", ":")))
-        temporary_path.rename(path)
+        try:
+            temporary_path.write_text(json.dumps(_to_fields(lock), separators=(",", ":")))
+            temporary_path.rename(path)
+        except OSError:
+            temporary_path.unlink(missing_ok=True)
+            raise
 
     def remove(self, key: IdempotencyKey) -> None:
         """Remove the lock of a key."""
@@ -125,7 +132,7 @@
         fields = json.loads(path.read_bytes())
     except FileNotFoundError:
         return None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise KeyLockError(f"{path.name}: {error}") from None
     if not isinstance(fields, dict) or not isinstance(fields.get("until_us"), int):
         raise KeyLockError(f"{path.name} is not a key lock")
--- a/tests/upgrade/test_key_locks.py
+++ b/tests/upgrade/test_key_locks.py
@@ -194,6 +194,20 @@
     assert receives(processes.acquire(1, digest=blake2b(b"", digest_size=DIGEST_BYTES).hexdigest()), True)
 
 
+def test_lock_that_can_not_be_written_leaves_no_file(
+    processes: TwoProcesses, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a file for each keyed request while the disk is full: none of them ever expired."""
+
+    def full_disk(path: Path, text: str) -> int:
+        path.write_bytes(text.encode()[:10])
+        raise OSError(28, "no space left")
+
+    monkeypatch.setattr(Path, "write_text", full_disk)
+    assert receives(processes.acquire(0), False)
+    assert processes.locks[0].directory.paths() == []
+
+
 @contextlib.contextmanager
 def never_idle(locks: KeyLockFiles) -> Iterator[None]:
     """Keep a task in the queue at all times, as frequent keyed requests do."""
