--- a/tests/soak/rig.py
+++ b/tests/soak/rig.py
@@ -185,11 +185,18 @@
                 pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
                 resident_mb = pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
                 before, after = self.descriptors_before[name], self._descriptors(name)
-                self.history.record_resources(name, before, after, resident_mb)
+                held = self._connections_of_callers(name)
+                self.history.record_resources(name, before + held, after, resident_mb)
         files = [path for path in self.processes.folder.glob("*.keys/*") if path.name != "lock"]
         keyed = sum(1 for request in self.history.requests if request.key)
         self.history.record_key_locks(len(files), keyed * len(self.node_addresses))
 
+    def _connections_of_callers(self, name: str) -> int:
+        """Return how many connections callers hold open to a node."""
+        return sum(
+            len(link.connection_by_peer) for (_, target), link in self.network.links.items() if target == name
+        )
+
     def _descriptors(self, name: str) -> int:
         process = self.processes.running.get(name)
         return len(list(Path(f"/proc/{process.pid}/fd").iterdir())) if process else 0
