Handle signals although no thread can be started

What callers would see: a node at its limit of threads ended at once at SIGHUP or SIGTERM, with all open requests.

Cause: the main thread starts a thread for each reload and for the drain, and nothing caught the RuntimeError of that.

Evidence: found while looking for threads that an exception ends; the new test got the RuntimeError out of handle_signals before.

Change: such a reload is left out, counted and logged; the drain runs on the main thread.

--- a/reelusher/node.py
+++ b/reelusher/node.py
@@ -200,19 +200,40 @@
     """Handle signals while the node serves and while it drains; return once it has drained.
 
     A reload and the drain have threads of their own: a file that is slow to read must not delay a SIGTERM
-    that follows, and a SIGHUP is handled during the drain too.
+    that follows, and a SIGHUP is handled during the drain too. If no thread can be started, a reload is left
+    out, and the drain runs on this thread.
     """
     drain: threading.Thread | None = None
     while drain is None or drain.is_alive():
         received = watch.poll()
         if received is not None and received.signal is signal.SIGHUP:
-            start_thread("reload", node.reload)
+            _start_reload(node)
         elif received is not None:
             node.request_drain(received.earliest_s)
         elif drain is not None:
             drain.join(POLL_INTERVAL_S)
         elif node.drain_requested.wait(POLL_INTERVAL_S):
-            drain = start_thread("drain", node.drain)
+            drain = _start_drain(node)
+            if drain is None:
+                node.drain()
+                return
+
+
+def _start_reload(node: Node) -> None:
+    try:
+        start_thread("reload", node.reload)
+    except RuntimeError as error:
+        node.parts.counters.add("reload.left_out")
+        logger.error("reload: left out, cannot start a thread for it: {}", error)
+
+
+def _start_drain(node: Node) -> threading.Thread | None:
+    """Start the thread of the drain; return None if no thread can be started."""
+    try:
+        return start_thread("drain", node.drain)
+    except RuntimeError as error:
+        logger.error("drain: cannot start a thread for it, signals are not handled any more: {}", error)
+        return None
 
 
 def main(watch: SignalWatch) -> int:
--- a/tests/drain/test_signals.py
+++ b/tests/drain/test_signals.py
@@ -2,9 +2,13 @@
 
 import signal
 import threading
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
-from reelusher.drain.signals import SignalWatch
+import pytest
+
+from reelusher import node as node_module
+from reelusher.core.counters import Counters
+from reelusher.drain.signals import ReceivedSignal, SignalWatch
 
 
 def test_earliest_time_of_a_signal_is_proved_however_late_the_watch_polls() -> None:
@@ -49,3 +53,41 @@
     finally:
         signal.pthread_sigmask(signal.SIG_SETMASK, previous_mask)
         signal.signal(signal.SIGUSR1, signal.SIG_DFL)
+
+
+class NodeWithoutThreads:
+    """What `handle_signals` uses of a node, in a process that may start no more threads."""
+
+    def __init__(self) -> None:
+        self.drain_requested = threading.Event()
+        self.parts = self
+        self.counters = Counters()
+        self.drained: list[bool] = []
+
+    def reload(self) -> None:
+        raise AssertionError("no thread could be started for it")
+
+    def request_drain(self, requested_s: float) -> None:
+        self.drain_requested.set()
+
+    def drain(self) -> None:
+        self.drained.append(self.drain_requested.is_set())
+
+
+def test_signals_are_handled_although_no_thread_can_be_started(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a node that ends at once at SIGHUP or SIGTERM, with all its open requests."""
+
+    def no_thread(name: str, function: Callable[[], object]) -> threading.Thread:
+        raise RuntimeError("can't start new thread")
+
+    class Watch:
+        received = [ReceivedSignal(signal.SIGHUP, 1.0), ReceivedSignal(signal.SIGTERM, 2.0)]
+
+        def poll(self) -> ReceivedSignal | None:
+            return self.received.pop(0) if self.received else None
+
+    monkeypatch.setattr(node_module, "start_thread", no_thread)
+    node = NodeWithoutThreads()
+    node_module.handle_signals(node, Watch())  # type: ignore[arg-type]
+    assert node.drained == [True]
+    assert node.counters.snapshot() == {"reload.left_out": 1}
