--- a/tests/drain/test_signals.py
+++ b/tests/drain/test_signals.py
@@ -80,11 +80,11 @@
     def no_thread(name: str, function: Callable[[], object]) -> threading.Thread:
         raise RuntimeError("can't start new thread")
 
-    class Watch:
-        received = [ReceivedSignal(signal.SIGHUP, 1.0), ReceivedSignal(signal.SIGTERM, 2.0)]
+    received = [ReceivedSignal(signal.SIGHUP, 1.0), ReceivedSignal(signal.SIGTERM, 2.0)]
 
+    class Watch:
         def poll(self) -> ReceivedSignal | None:
-            return self.received.pop(0) if self.received else None
+            return received.pop(0) if received else None
 
     monkeypatch.setattr(node_module, "start_thread", no_thread)
     node = NodeWithoutThreads()
