Move idle limits and evictions out of the platform's front end

Which connections are idle for too long, and which make room in which order, are pure decisions and stand in eviction.py now; the front end passes the stall limit, which tests shorten.

--- a/reelusher/frontends/rpc/frontend.py
+++ b/reelusher/frontends/rpc/frontend.py
@@ -14,6 +14,7 @@
 from reelusher.drain.connection_shutdown import ConnectionShutdown, unread_bytes
 from reelusher.drain.schedule import DrainObservation, DrainSchedule
 from reelusher.frontends.rpc.connection import Connection
+from reelusher.frontends.rpc.eviction import eviction_order, idle_limit_s, is_evictable
 from reelusher.frontends.rpc.fields import HEALTH_METHOD, BadRequestError
 from reelusher.frontends.rpc.half_closed import LINGER_S, HalfClosedConnections
 from reelusher.frontends.rpc.idle_limits import IdleLimits, idle_limits
@@ -33,13 +34,10 @@
 MAX_BAD_REQUESTS = 8  # bad requests on one connection before it is closed
 MAX_MESSAGE_ID = (1 << 32) - 1
 SWEEP_S = 0.1  # interval between checks of all connections
-SILENT_S = 1.5  # a connection without a complete message is sent `lastCall` after this time
 SILENT_CLOSE_S = 0.5  # and is closed this long after the notice
 # longest time from the first byte of a message to its last; also, a backlog that has stalled for longer does
 # not protect its connection from eviction
 MAX_FRAME_S = 2.0
-PARTIAL_PROTECTED_S = 0.4  # an incomplete message counts as use of its connection for this long
-MIN_IDLE_S = 0.1  # a connection that was opened or used less than this ago is not evicted
 EVICTION_DIVISOR = 16  # an eviction closes one in this many of the possible connections
 MAX_SPARE = 16  # connections beyond the limit, whose requests are rejected
 DESCRIPTORS_PER_SPARE = 32  # with few descriptors, there is one spare connection for this many
@@ -218,9 +216,9 @@
         """Close idle connections, several per search; return whether there is room for a new one."""
         now = time.monotonic()
         candidates = [
-            (*_eviction_order(connection), number, connection)
+            (*eviction_order(connection), number, connection)
             for number, connection in enumerate(self.connections())
-            if _is_evictable(connection, now)
+            if is_evictable(connection, now, MAX_FRAME_S)
         ]
         evicted = heapq.nsmallest(max(self.max_connections // EVICTION_DIVISOR, 1), candidates)
         for *_, connection in evicted:
@@ -462,7 +460,7 @@
             close_s = limits.close_s if connection.messages_read else SILENT_CLOSE_S
             if idle_s and now - connection.last_call_s > close_s:
                 self._close_idle(connection)
-        elif idle_s > _idle_limit_s(connection, limits) and self._is_still_idle(connection):
+        elif idle_s > idle_limit_s(connection, limits) and self._is_still_idle(connection):
             self._announce_close(connection, now)
 
     def _announce_close(self, connection: Connection, now: float) -> None:
@@ -494,31 +492,3 @@
         if not connection.ended and connection.partial_since_s == partial_since_s:
             self._core.counters.add("platform.closed_partial")
             self._end(connection, peer_closed=False)
-
-
-def _idle_limit_s(connection: Connection, limits: IdleLimits) -> float:
-    """Return the idle time in seconds after which a connection is sent `lastCall`."""
-    if not connection.messages_read:
-        return min(SILENT_S, limits.idle_s)
-    return limits.used_once_s if connection.messages_read == 1 else limits.idle_s
-
-
-def _is_evictable(connection: Connection, now: float) -> bool:
-    """Return whether a connection may be closed to make room for a new one."""
-    if connection.unanswered or connection.rejecting_since_s:
-        return False
-    if connection.send_buffer.backlog and connection.send_buffer.stalled_for(now) <= MAX_FRAME_S:
-        return False
-    if connection.ended:  # nothing is read any more; without a backlog it is about to be closed
-        return connection.send_buffer.backlog > 0
-    in_use_until_s = max(connection.last_used_s, connection.partial_since_s + PARTIAL_PROTECTED_S)
-    return now - in_use_until_s > MIN_IDLE_S
-
-
-def _eviction_order(connection: Connection) -> tuple[int, float]:
-    """Return the sort key of evictions: unused connections first, then those used once, then all others.
-
-    Connections with an incomplete message come last; within a group, the longest idle comes first.
-    """
-    group = 3 if connection.partial_since_s else min(connection.messages_read, 2)
-    return group, connection.last_used_s
