Play pauses and kills in the soak, and excuse answers that a faulty link holds

An answer over a link that had a fault while it was open may be late; nothing else is excused, and a history holds it. The soak now pauses or kills a node that is not drained at that time, in seven of ten runs.

--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -2,8 +2,8 @@
 
 from collections import defaultdict
 
-from reelusher.lab.fleet.account import RunHistory
-from reelusher.lab.fleet.plan import Plan
+from reelusher.lab.fleet.account import Attempt, RunHistory
+from reelusher.lab.fleet.plan import LINK_FAULTS, Plan
 
 GRACE_S = 1.0  # `drain_grace_us` of the rig's settings
 SLACK_S = 0.05  # for sockets, as the protocol states
@@ -49,6 +49,23 @@
                 after_s = attempt.sent_s - term_s
                 self.violations.append(f"{node} ran {run_id}, sent {after_s:.3f} s after SIGTERM")
 
+    def record_answer(self, now: float, attempt: Attempt, verdict: str, body: bytes) -> None:
+        """Record an answer; a fault of the link to its caller excuses that it is late."""
+        if self._had_link_fault(attempt.node, attempt.sent_s, now - self.load_start_s):
+            attempt.excused = True
+        super().record_answer(now, attempt, verdict, body)
+
+    def _had_link_fault(self, node: str, since: float, until: float) -> bool:
+        """Return whether the link between callers and a node had a fault between two times."""
+        callers = {f"callers.{zone.name}" for zone in self.plan.zones}
+        return any(
+            fault.kind in LINK_FAULTS
+            and any(fault.affects(caller, node) or fault.affects(node, caller) for caller in callers)
+            and fault.at_s <= until
+            and fault.at_s + fault.for_s >= since
+            for fault in self.plan.faults
+        )
+
     def record_exit(self, node: str, now: float, status: int | None, stop_s: float) -> None:
         """Record the end of a drain: status None if the process had to be killed after `stop_s`."""
         self._exit_s[node].append(now - self.load_start_s)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -80,6 +80,7 @@
     random = Random(f"soak {seed}")
     stop_ms = random.choice((1500, 2500, 4000))
     faults = _restarts(random, seconds, stop_ms / 1000)
+    faults += _node_faults(random, seconds, faults, stop_ms / 1000)
     faults += [_fault(random, seconds) for _ in range(random.randint(2, 5))]
     plan = parse(
         {
@@ -112,6 +113,23 @@
     return restarts
 
 
+def _node_faults(
+    random: Random, seconds: float, restarts: list[dict[str, Any]], stop_s: float
+) -> list[dict[str, Any]]:
+    """Return a pause or a kill of a node that is not drained at that time, or none."""
+    at_s, duration_s = random.uniform(1.0, seconds - SETTLE_S - 2.0), random.uniform(0.2, 2.0)
+    drained = {
+        restart["of"]
+        for restart in restarts
+        if at_s - stop_s - RESTART_MARGIN_S < restart["at_s"] < at_s + duration_s + RESTART_MARGIN_S
+    }
+    free = [f"node:{name}" for name in NODES if f"node:{name}" not in drained]
+    if not free or random.random() < 0.3:
+        return []
+    kind = random.choice(("stop", "kill"))
+    return [{"kind": kind, "of": random.choice(free), "at_s": at_s, "for_s": duration_s}]
+
+
 def _fault(random: Random, seconds: float) -> dict[str, Any]:
     """Return one fault of a link or of a stand-in."""
     at_s = random.uniform(0.5, max(1.0, seconds - SETTLE_S - 2.0))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,17 +1,20 @@
 """The soak in short: fixed seeds with real processes, and histories that break each rule of its checker."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
 from reelusher.lab.fleet.account import Attempt, ClientRequest
+from reelusher.lab.fleet.plan import Fault
 from soak.history import GRACE_S, MAX_EXTRA_DESCRIPTORS, MAX_RESIDENT_MB, MAX_START_S, SoakHistory
 from soak.plan import draw
 from soak.rig import play
 
 SECONDS = 10.0
 NODE = "n1"
+SILENT_LINK = Fault("silent", 33.0, 6.0, frozenset(["callers.a"]), frozenset([NODE]))
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
@@ -140,6 +143,8 @@
     history.record_exit(NODE, 3.0, 0, 4.0)
     history.record_pause(NODE, 4.0, 6.0)
     history.record_answer(9.0, send(history, "t3", 3.5, "k3"), "refused", b"")
+    history.plan = replace(history.plan, faults=(SILENT_LINK,))
+    history.record_answer(40.0, send(history, "t5", 30.0, "k5"), "refused", b"")
     serve(history, "t4", 21.0)  # the window of its key is over
     history.record_log(NODE, "19:00:00.000 ERROR reload: rejected, the current configuration stays in use: x")
     assert history.violations == []
