Pick ports of tests below those that the kernel gives to outgoing connections

Cause: seven places took a port that the kernel had given, closed it, and had a process bind it later; in between the kernel may give it to an outgoing connection of any other test run.

--- a/tests/admin/test_replicated_api.py
+++ b/tests/admin/test_replicated_api.py
@@ -16,7 +16,7 @@
 import parties
 import pytest
 import tomli_w
-from helpers import wait_until
+from helpers import free_address, wait_until
 from replicas import names_of
 from scenario import SETTINGS, TOKEN
 
@@ -699,10 +699,10 @@
 
 
 def free_addresses(count: int) -> list[tuple[str, int]]:
-    with contextlib.ExitStack() as sockets:
-        return [
-            sockets.enter_context(socket.create_server(("127.0.0.1", 0))).getsockname() for _ in range(count)
-        ]
+    addresses: set[tuple[str, int]] = set()
+    while len(addresses) < count:
+        addresses.add(free_address())
+    return list(addresses)
 
 
 def test_node_starts_and_serves_from_its_replica_while_all_others_are_away(
--- a/tests/drain/test_node_drain.py
+++ b/tests/drain/test_node_drain.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -14,6 +13,7 @@
 import pytest
 import scenario
 import starved
+from helpers import free_address
 
 ROOT = Path(__file__).parents[2]
 
@@ -32,8 +32,7 @@
 ) -> Iterator["subprocess.Popen[bytes]"]:
     """Run the program until the end of the block, which is entered once the program listens."""
     path = folder / "config.json"
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        address = "{}:{}".format(*free.getsockname())
+    address = "{}:{}".format(*free_address())
     path.write_text(
         json.dumps(
             {
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,12 +5,15 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from reelusher.config.checked_table import Address
+from reelusher.lab.fleet.rig import free_port
 from reelusher.policy.actions import Action
 from reelusher.policy.controller import Controller
 from reelusher.policy.events import Gauges, Tick
 from reelusher.policy.settings import Idempotency, RequestClass, Settings
 from reelusher.policy.tenant_scheduler import TenantScheduler
 
+LOOPBACK = "127.0.0.1"
 SAFE = RequestClass(
     deadline_us=8_000_000, latency_objective_us=2_000_000, makes_calls=True, degraded_value_fraction=0.5
 )
@@ -36,6 +39,15 @@
     return bool(condition())
 
 
+def free_address() -> Address:
+    """Return an address on loopback for a process that is about to be started.
+
+    Its port lies below those that the kernel gives to outgoing connections, for example to those of tests
+    that run at the same time.
+    """
+    return LOOPBACK, free_port([LOOPBACK])
+
+
 def small_node_settings(*classes: RequestClass, **changes: Any) -> Settings:
     """Return the settings of a node with two cores and 100 MB; `changes` replace its fields."""
     fields: dict[str, Any] = {
--- a/tests/starved.py
+++ b/tests/starved.py
@@ -17,7 +17,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -28,6 +27,7 @@
 from typing import Any
 
 import scenario
+from helpers import free_address
 
 from reelusher.codecs import lines, msgpack
 
@@ -220,8 +220,7 @@
         self.runtime = Runtime(load, self.tally, self)
 
     async def run(self) -> Tally:
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.listen_address = free.getsockname()
+        self.listen_address = free_address()
         server = await asyncio.start_server(self.runtime.serve, "127.0.0.1", 0)
         runtime = "{}:{}".format(*server.sockets[0].getsockname())
         rules = {**scenario.SETTINGS["rules"], "drain_grace_us": self.load.grace_ms * 1000}
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -1,7 +1,6 @@
 """Warm start: combining observations, selecting donors, and a node that starts beside warm ones."""
 
 import itertools
-import socket
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -9,7 +8,7 @@
 
 import parties
 import pytest
-from helpers import wait_until
+from helpers import free_address, wait_until
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -131,8 +130,7 @@
         self.folder, self.nodes = folder, list[Node]()
         (folder / "secret").write_text("a secret of sixteen or more")
         self.worker = parties.Container({})
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.unreachable_port = free.getsockname()[1]
+        self.unreachable_port = free_address()[1]
 
     def start(self, name: str) -> Node:
         seeds = ["{}:{}".format(*node.parts.fleet.address) for node in self.nodes if node.parts.fleet]
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -17,7 +17,7 @@
 import pytest
 import scenario
 from core_harness import Backend
-from helpers import small_node_settings, wait_until
+from helpers import free_address, small_node_settings, wait_until
 
 from reelusher.backends import downstream_client
 from reelusher.backends.unacknowledged_commands import UnacknowledgedCommands
@@ -388,8 +388,7 @@
 
 def test_deployed_node_starts_answers_health_and_exits_with_status_0(tmp_path: Path) -> None:
     """Run the command of the deploy file, with optimization, while its runtime is not reachable."""
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        listen_address = free.getsockname()
+    listen_address = free_address()
     path = tmp_path / "config.json"
     path.write_text(json.dumps({**PLATFORM, "listen": f"127.0.0.1:{listen_address[1]}", "stop_ms": 1000}))
     command = deploy_file_command("run")
--- a/tests/upgrade/test_handover.py
+++ b/tests/upgrade/test_handover.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import parties
-from helpers import wait_until
+from helpers import free_address, wait_until
 from scenario import SETTINGS
 from test_parts import ROOT, deploy_file_command
 
@@ -22,8 +22,7 @@
     def __init__(self, folder: Path, number: int, listen: str, registry: str) -> None:
         self.runtime = parties.Runtime({})
         self.runtime.ends_runs_at_once = True
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.operator = free.getsockname()
+        self.operator = free_address()
         path = folder / f"p{number}.json"
         path.write_text(
             json.dumps(
@@ -59,8 +58,7 @@
 
 
 def test_callers_lose_nothing_while_one_process_takes_over(tmp_path: Path) -> None:
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        port = free.getsockname()[1]
+    port = free_address()[1]
     registry = parties.CatalogParty({})
     old = Process(tmp_path, 1, f"127.0.0.1:{port}", "{}:{}".format(*registry.address))
     new: Process | None = None
