--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -70,17 +70,23 @@
         """Record the end of a drain: status None if the process had to be killed after `stop_s`."""
         self._exit_s[node].append(now - self.load_start_s)
         if status is None:
-            self.violations.append(f"{node} had not exited {stop_s:.1f} s after SIGTERM")
+            until_s = now - self.load_start_s
+            waited_s = self._waited_s(node, until_s - stop_s, until_s)
+            self.violations.append(
+                f"{node} had not exited {stop_s:.1f} s after SIGTERM, {waited_s:.1f} s of them without a core"
+            )
         elif status:
             self.violations.append(f"{node} left with status {status}")
 
     def _paused_s(self, node: str, since: float, until: float) -> float:
         """Return for how long a node was paused or had no core between two times."""
-        waited_s = sum(
+        return super()._paused_s(node, since, until) + self._waited_s(node, since, until)
+
+    def _waited_s(self, node: str, since: float, until: float) -> float:
+        return sum(
             fraction * max(0.0, min(end_s, until) - max(start_s, since))
             for start_s, end_s, fraction in self.core_waits[node]
         )
-        return super()._paused_s(node, since, until) + waited_s
 
     def record_start(self, node: str, duration_s: float) -> None:
         """Record how long a process took until it accepted a connection."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -80,6 +80,7 @@
 
 
 def outlive_the_stop(history: SoakHistory) -> None:
+    history.record_core_wait(NODE, 2.0, 3.0, 0.5)
     history.record_exit(NODE, 4.0, None, 4.0)
 
 
@@ -118,7 +119,7 @@
         (serve_what_no_run_made, "n1 served t1 with what no run made for it"),
         (run_a_key_again_after_a_kill, "n1 ran key k twice: t1 and t2"),
         (run_after_the_grace, "n1 ran t1, sent 1.100 s after SIGTERM"),
-        (outlive_the_stop, "n1 had not exited 4.0 s after SIGTERM"),
+        (outlive_the_stop, "n1 had not exited 4.0 s after SIGTERM, 0.5 s of them without a core"),
         (leave_with_an_error, "n1 left with status 1"),
         (start_slowly, "n1 accepted no connection within 10 s of its start"),
         (keep_descriptors, "n1 has 69 descriptors at rest, 20 before"),
