Serve first in the next round what a round of the poller has left

What callers saw: on a node short of processor time, behind a flood on some connections, new connections were not accepted and later ones not read until the flood ended.

Cause: a round of the poller ends once a timer is due and leaves the rest to the next poll; epoll returns what stays ready in the same order, so the last descriptors were never reached.

A new test forces it with a callback longer than the timer's interval: one of ten sockets served in 5 s before (1 failed), all after.

Change: the poller keeps what a round has left, in order, and serves it first.

--- a/reelusher/net/poller.py
+++ b/reelusher/net/poller.py
@@ -42,6 +42,9 @@
         self._on_lag = on_lag
         self._epoll = select.epoll()
         self._callbacks: dict[int, Callback] = {}  # callbacks by descriptor
+        # descriptors that were ready and have not been served, in order; one may have been closed since, and
+        # its number reused, so callbacks must not rely on data
+        self._ready: dict[int, None] = {}
         self._calls: queue.SimpleQueue[Callback] = queue.SimpleQueue()
         self._wakeup_fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self._wakeup_lock = threading.Lock()  # guards the write to it and its close
@@ -81,6 +84,7 @@
 
     def unwatch(self, sock: socket.socket) -> None:
         """Stop watching a socket. Call this before closing it, since its descriptor may be reused."""
+        self._ready.pop(sock.fileno(), None)
         if self._callbacks.pop(sock.fileno(), None) is not None:
             with contextlib.suppress(OSError):
                 self._epoll.unregister(sock.fileno())
@@ -104,20 +108,36 @@
 
     def _run(self) -> None:
         while not self._closed:
-            wait = max(0.0, self._timers[0][0] - time.monotonic()) if self._timers else None
-            events = self._epoll.poll(wait, MAX_EVENTS)
+            for fd, _ in self._epoll.poll(self._wait_s(), MAX_EVENTS):
+                self._ready.setdefault(fd)
             self._run_timers()  # timers and calls run before sockets
             self._run_calls()
-            for fd, _ in events:
-                if fd == self._wakeup_fd:
-                    with contextlib.suppress(BlockingIOError):
-                        os.eventfd_read(self._wakeup_fd)
-                elif (callback := self._callbacks.get(fd)) is not None:
-                    self._run_callback(callback)
-                if self._timers and self._timers[0][0] <= time.monotonic():
-                    break  # on a busy processor a round may take seconds; the next poll returns the rest
+            self._run_ready()
         self._release()
 
+    def _wait_s(self) -> float | None:
+        """Return how long the next poll may wait in seconds; None without a limit."""
+        if self._ready:
+            return 0.0
+        return max(0.0, self._timers[0][0] - time.monotonic()) if self._timers else None
+
+    def _run_ready(self) -> None:
+        """Run the callbacks of ready descriptors until a timer is due.
+
+        On a busy processor that may be after the first one. The others come first in the next round: epoll
+        returns ready descriptors in the same order each time, so that the last ones would never be served.
+        """
+        while self._ready:
+            fd = next(iter(self._ready))
+            del self._ready[fd]
+            if fd == self._wakeup_fd:
+                with contextlib.suppress(BlockingIOError):
+                    os.eventfd_read(self._wakeup_fd)
+            elif (callback := self._callbacks.get(fd)) is not None:
+                self._run_callback(callback)
+            if self._timers and self._timers[0][0] <= time.monotonic():
+                return
+
     def _run_calls(self) -> None:
         """Run the calls of other threads, including those that are made meanwhile.
 
--- a/tests/drain/test_poller_during_drain.py
+++ b/tests/drain/test_poller_during_drain.py
@@ -4,9 +4,11 @@
 import socket
 import threading
 import time
+from functools import partial
 from itertools import pairwise
 
 import pytest
+from helpers import wait_until
 
 from reelusher.core.counters import Counters
 from reelusher.net.poller import Poller
@@ -118,3 +120,27 @@
         os.eventfd_read(reused)
     for descriptor in others:
         os.close(descriptor)
+
+
+def test_poller_serves_all_sockets_although_each_round_is_cut_short_by_a_timer() -> None:
+    """Guard against sockets that are never served while those before them stay readable.
+
+    On a busy core, a flood on some connections kept the listener and all later connections waiting.
+    """
+    poller, served, sockets = Poller("test-poller", Counters()), set[int](), list[socket.socket]()
+
+    def serve(number: int) -> None:
+        served.add(number)
+        time.sleep(0.02)  # longer than the interval of the timer
+
+    for number in range(10):
+        near, far = socket.socketpair()
+        far.send(b"never read")
+        poller.watch(near, partial(serve, number))
+        sockets += [near, far]
+    poller.every(0.01, lambda: None)
+    poller.start()
+    assert wait_until(lambda: len(served) == 10, timeout_s=5)
+    poller.close()
+    for sock in sockets:
+        sock.close()
