--- a/reelusher/backends/runtime.py
+++ b/reelusher/backends/runtime.py
@@ -37,9 +37,8 @@
 READ_BYTES = 1 << 16
 MIN_RESTART_S = 5.0  # a smaller difference between two start times is inaccuracy of clocks, not a restart
 START, STOP, RESUME, GIVE, OMIT = "start", "stop", "cont", "give", "omit"  # names of commands
-READ_BEFORE_CALL = frozenset(
-    {START, GIVE, OMIT}
-)  # the runtime has read these when a run requests its next call
+# commands that the runtime has read when a run requests its next call
+READ_BEFORE_CALL = frozenset({START, GIVE, OMIT})
 OUTCOMES = {  # by the value of `how` in the notice `end`
     "ok": Outcome.OK,
     "failed": Outcome.ERROR,
--- a/reelusher/fleet/membership/swim.py
+++ b/reelusher/fleet/membership/swim.py
@@ -113,9 +113,7 @@
         self._last_tick_s = now
         if elapsed_s > STALL_S + self.detector.local_health.score * PROBE_PERIOD_S:
             self._on_stall(elapsed_s)
-        if (
-            self.own.state is not MemberState.LEFT
-        ):  # it then probes no longer, but still sends pending updates
+        if self.own.state is not MemberState.LEFT:  # else it only sends pending updates
             self.detector.advance(now)
             self._expire_suspicions(now)
             self.detector.start_probe_if_due(now)
--- a/tests/soak/rig.py
+++ b/tests/soak/rig.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +25,7 @@
 CLIENT_S = 3.0  # how long a misbehaving client stays connected
 CROWD_SIZE = 400  # of the 512 descriptors of a node
 SILENT_CLIENTS = 20
+MAX_DRAIN_S = 5.0  # longer than any drain of a run takes
 REST_S = 1.0  # without load, before descriptors are counted at the end
 POLL_S = 0.01
 HEALTH_CHECK = msgpack.pack([0, 1, "health", [{}]])
@@ -173,9 +175,9 @@
                 self.history.violations.append(f"{name} did not answer a half-closed health check")
 
     def _was_draining(self, name: str, since_s: float) -> bool:
-        """Return whether a node has been sent SIGTERM, or ended, from a second before a time on."""
+        """Return whether a node has been sent SIGTERM since `MAX_DRAIN_S` before a time."""
         terms_s = self.history.terms(name)
-        return any(term_s > since_s - self.history.load_start_s - GRACE_S * 5 for term_s in terms_s)
+        return any(term_s > since_s - self.history.load_start_s - MAX_DRAIN_S for term_s in terms_s)
 
     # The end
 
@@ -210,20 +212,16 @@
             self.history.record_log(name, self.processes.log(name))
 
 
-def ignore_last_calls(ignores: bool) -> contextlib.AbstractContextManager[None]:
-    """Within the context, callers ignore `lastCall` and use a connection until the node closes it."""
-
-    @contextlib.contextmanager
-    def patched() -> Any:
-        original = CallerConnection.is_last_call
-        if ignores:
-            CallerConnection.is_last_call = lambda self, message: False  # type: ignore[method-assign]
-        try:
-            yield
-        finally:
-            CallerConnection.is_last_call = original  # type: ignore[method-assign]
-
-    return patched()
+@contextlib.contextmanager
+def ignore_last_calls(ignores: bool) -> Iterator[None]:
+    """Within the context, callers ignore `lastCall` if `ignores`, and use connections until they end."""
+    original = CallerConnection.is_last_call
+    if ignores:
+        CallerConnection.is_last_call = lambda self, message: False  # type: ignore[method-assign]
+    try:
+        yield
+    finally:
+        CallerConnection.is_last_call = original  # type: ignore[method-assign]
 
 
 def play(soak: Soak, folder: Path | None = None) -> SoakHistory:
