Count what connections lose at their end, and print the history of lost requests

Cause for it: the listed drain on a tenth of a core counted lost requests, and neither the node nor the test told where: a request may be discarded behind the node's shutdown of its connection, be reset unread, or never be read before the process ends.

Change: platform.discarded_bytes and platform.closed_unread; the line of a finished drain has the bytes that are unsent and unread on open connections. The rig of the drain prints each lost request with its connection: when it connected, sent, read the last call and ended, by whom, what the node's kernel had not acknowledged, and how late the callers' own loop ran.

--- a/reelusher/drain/graceful_shutdown.py
+++ b/reelusher/drain/graceful_shutdown.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable, Collection
 from typing import Protocol
 
-from reelusher.drain.schedule import DrainObservation, DrainSchedule, QuietPeriod, make_schedule
+from reelusher.drain.schedule import (
+    ConnectionState,
+    DrainObservation,
+    DrainSchedule,
+    QuietPeriod,
+    make_schedule,
+)
 
 POLL_INTERVAL_S = 0.02  # time between two checks whether the drain may end
 EXIT_POLL_INTERVAL_S = 0.005  # time between two checks whether all connections are closed
@@ -23,6 +29,9 @@
     def open_connections(self) -> int:
         """Return the number of open connections."""
 
+    def remaining_work(self) -> ConnectionState:
+        """Return the work that is left on all open connections together."""
+
 
 class GracefulShutdown:
     """Drains the front ends and the core of a node."""
--- a/reelusher/frontends/ajp/frontend.py
+++ b/reelusher/frontends/ajp/frontend.py
@@ -96,10 +96,11 @@
                 if not self._draining:
                     self._draining = True
                     self._listener.stop()
-                self._observation = DrainObservation(self._state(), now)
+                self._observation = DrainObservation(self.remaining_work(), now)
             time.sleep(POLL_INTERVAL_S)
 
-    def _state(self) -> ConnectionState:
+    def remaining_work(self) -> ConnectionState:
+        """Return the work that is left on all open connections together."""
         slots = self._connections.snapshot()
         busy = sum(slot.busy for slot in slots.values())
         unread = sum(unread_bytes(sock) for sock, slot in slots.items() if not slot.busy)
--- a/reelusher/frontends/rpc/frontend.py
+++ b/reelusher/frontends/rpc/frontend.py
@@ -11,8 +11,8 @@
 from reelusher.codecs.errors import MalformedError
 from reelusher.core.event_loop import Core
 from reelusher.core.messages import CallersDisconnected, RequestArrived, Verdict
-from reelusher.drain.connection_shutdown import ConnectionShutdown, unread_bytes
-from reelusher.drain.schedule import DrainObservation, DrainSchedule
+from reelusher.drain.connection_shutdown import ConnectionShutdown, total_state, unread_bytes
+from reelusher.drain.schedule import ConnectionState, DrainObservation, DrainSchedule
 from reelusher.frontends.rpc.connection import Connection
 from reelusher.frontends.rpc.eviction import eviction_order, idle_limit_s, is_evictable
 from reelusher.frontends.rpc.fields import HEALTH_METHOD, BadRequestError
@@ -109,6 +109,10 @@
         """Return the latest observation of all connections; None before the first one of a drain."""
         return self._shutdown.observation
 
+    def remaining_work(self) -> ConnectionState:
+        """Return the work that is left on all open connections together."""
+        return total_state(connection.state for connection in self.connections())
+
     def close(self) -> None:
         """Close the listener and all connections, without waiting for open requests.
 
@@ -260,6 +264,7 @@
             self._end(connection, peer_closed=True)
             return False
         if connection.send_buffer.closed:  # answers can't be sent any more, so no requests are run either
+            self._core.counters.add("platform.discarded_bytes", len(data))
             return True
         return self._decode(connection, data)
 
@@ -397,6 +402,8 @@
             self._core.post(CallersDisconnected(run_ids))
 
     def _release(self, connection: Connection) -> None:
+        if unread_bytes(connection.sock):
+            self._core.counters.add("platform.closed_unread")  # the kernel resets such a connection
         self._poller.unwatch(connection.sock)
         with self._lock:
             self._connections.pop(connection.sock, None)
--- a/reelusher/frontends/rpc/half_closed.py
+++ b/reelusher/frontends/rpc/half_closed.py
@@ -70,6 +70,7 @@
             return
         except OSError:
             size = 0
+        self._counters.add("platform.discarded_bytes", size)
         entry.remaining_bytes -= size
         if not size or entry.remaining_bytes <= 0:
             self._remove(sock)
--- a/reelusher/node.py
+++ b/reelusher/node.py
@@ -13,6 +13,7 @@
 from reelusher.assembly.parts import NodeParts
 from reelusher.config import Config, ConfigError, load
 from reelusher.core.messages import DrainRequested
+from reelusher.drain.connection_shutdown import total_state
 from reelusher.drain.graceful_shutdown import GracefulShutdown
 from reelusher.drain.signals import POLL_INTERVAL_S, SignalWatch
 from reelusher.logging_setup import set_up_logging
@@ -151,7 +152,14 @@
         parts.close_replication()
         unanswered = parts.core.attempts.unanswered
         duration_ms = (time.monotonic() - self._drain_requested_s) * 1000
-        logger.info("drain: finished after {:.0f} ms, {} unanswered", duration_ms, unanswered)
+        remaining = total_state(frontend.remaining_work() for frontend in parts.frontends.values())
+        logger.info(
+            "drain: finished after {:.0f} ms, {} unanswered, {} bytes unsent, {} bytes unread",
+            duration_ms,
+            unanswered,
+            remaining.unsent_bytes,
+            remaining.unread_bytes,
+        )
         logger.info("counters: {}", parts.counters.summary())
         return not unanswered
 
--- a/tests/starved.py
+++ b/tests/starved.py
@@ -8,18 +8,22 @@
 """
 
 import argparse
+import array
 import asyncio
 import base64
 import contextlib
 import dataclasses
+import fcntl
 import itertools
 import json
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
+import termios
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -30,6 +34,7 @@
 from helpers import free_address
 
 from reelusher.codecs import lines, msgpack
+from reelusher.core.scheduling_lag import SchedulingLag
 
 ROOT = Path(__file__).parent.parent
 BUSY_PROGRAM = "import os, time\nwhile os.getppid() == {parent}:\n    for _ in range(100000): pass"
@@ -38,6 +43,7 @@
 # again, so it is not lost.
 CROSSING_S = 0.05
 MOST_ON_ONE = 32
+LAG_INTERVAL_S = 0.01  # between two observations of how late the callers' event loop runs
 TIMEOUT_MARGIN_S = 8.0  # margin of the time limit of one drain
 
 
@@ -57,6 +63,22 @@
     sighup_before_s: float = -1.0  # from SIGHUP to SIGTERM; negative: no SIGHUP
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LostRequest:
+    """A lost request as its caller saw it; times in seconds after the start of the load."""
+
+    port: int  # of the caller
+    body: str
+    connected_s: float
+    sent_s: float
+    ended_s: float
+    last_call_s: float | None  # when the notice `lastCall` was read, if it was
+    ended_by: str
+    answered_before: int  # requests that were answered on the connection
+    unacknowledged_bytes: int  # that the kernel of the node had not acknowledged
+    caller_lag_s: float  # the largest recent lag of the callers' event loop
+
+
 class Tally(Counter[str]):
     """Counts of served, refused and failed requests, of refused connections and of violations of `RULES`."""
 
@@ -64,6 +86,10 @@
     status: int | None = None
     log = ""
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.lost_requests: list[LostRequest] = []
+
     def violations(self) -> dict[str, int]:
         """Return how often each rule was violated, without those that hold."""
         return {name: self[name] for name in RULES if self[name]}
@@ -149,6 +175,9 @@
         self.unanswered: dict[int, tuple[str, float, str]] = {}  # run id, time of sending and body
         self.answered: set[int] = set()
         self.last_call_received = self.closed = False
+        self.connected_s = time.monotonic()
+        self.last_call_s: float | None = None
+        self.ended_by = "the end of the measurement"
         self.transport: asyncio.Transport | None = None
         self.new = True  # no request was answered on this connection yet
 
@@ -172,12 +201,16 @@
         for message in self.decoder.feed(data):
             self.handle_message(message)
         if self.last_call_received and not self.unanswered and self.transport is not None:
+            self.ended_by = "the caller"
             self.transport.close()
 
+    def eof_received(self) -> None:
+        self.ended_by = "the node"
+
     def handle_message(self, message: Any) -> None:
         tally, now = self.rig.tally, time.monotonic()
         if message[0] == 2:
-            self.last_call_received = True
+            self.last_call_received, self.last_call_s = True, now
             return
         _, number, error, result = message
         if number in self.answered:
@@ -200,9 +233,36 @@
             return
         now, self.closed = time.monotonic(), True
         self.rig.connections.discard(self)
-        for _, sent_at_s, _ in self.unanswered.values():
+        if error is not None:
+            self.ended_by = repr(error)
+        for _, sent_at_s, body in self.unanswered.values():
             crossed = self.new or now - sent_at_s <= CROSSING_S
             self.rig.tally["crossed" if crossed else "lost"] += 1
+            if not crossed:
+                self.rig.tally.lost_requests.append(self.trace(sent_at_s, body, now))
+
+    def trace(self, sent_at_s: float, body: str, ended_s: float) -> LostRequest:
+        assert self.transport is not None
+        sock, begin_s = self.transport.get_extra_info("socket"), self.rig.begin_s
+        return LostRequest(
+            self.transport.get_extra_info("sockname")[1],
+            body,
+            round(self.connected_s - begin_s, 4),
+            round(sent_at_s - begin_s, 4),
+            round(ended_s - begin_s, 4),
+            None if self.last_call_s is None else round(self.last_call_s - begin_s, 4),
+            self.ended_by,
+            len(self.answered),
+            unacknowledged_bytes(sock),
+            round(self.rig.lag.lag_s(ended_s), 4),
+        )
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many bytes were written to a TCP socket and not acknowledged by its peer's kernel."""
+    size = array.array("i", [0])
+    fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, size)
+    return size[0]
 
 
 class Rig:
@@ -216,6 +276,7 @@
         self.grace_end_s: float | None = None
         self.listen_address = ("127.0.0.1", 0)
         self.begin_s = 0.0
+        self.lag = SchedulingLag()  # of the event loop that runs the callers and the runtime
         self.tasks: set[asyncio.Task[None]] = set()
         self.runtime = Runtime(load, self.tally, self)
 
@@ -250,7 +311,7 @@
                     pinned([sys.executable, "-c", BUSY_PROGRAM.format(parent=os.getpid())], None, {})
                 )
             await self.run_drain(node)
-            self.tally.log = log.read_text()
+            self.tally.log = "\n".join([*map(str, self.tally.lost_requests), log.read_text()])
         server.close()
         return self.tally
 
@@ -273,7 +334,10 @@
     async def run_drain(self, node: "subprocess.Popen[bytes]") -> None:
         load, loop = self.load, asyncio.get_running_loop()
         self.begin_s = loop.time()
-        tasks = [asyncio.ensure_future(self.arrivals(load.requests_per_s, False))]
+        tasks = [
+            asyncio.ensure_future(self.arrivals(load.requests_per_s, False)),
+            asyncio.ensure_future(self.observe_lag()),
+        ]
         if load.new_connections_per_s:
             tasks.append(asyncio.ensure_future(self.arrivals(load.new_connections_per_s, True)))
         if load.sighup_before_s >= 0:
@@ -294,6 +358,13 @@
         for connection in list(self.connections):
             connection.connection_lost(None)
 
+    async def observe_lag(self) -> None:
+        while True:
+            due_s = time.monotonic() + LAG_INTERVAL_S
+            await asyncio.sleep(LAG_INTERVAL_S)
+            now = time.monotonic()
+            self.lag.observe(now - due_s, now)
+
     async def arrivals(self, rate: float, always_new: bool) -> None:
         """Send requests at random times, independent of their answers."""
         at_s, end = self.begin_s, self.begin_s + self.load.load_before_s + self.load.arrivals_after_s
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -166,6 +166,36 @@
     assert wait_until(lambda: not frontend._half_closed)
 
 
+def test_bytes_that_are_discarded_or_reset_at_the_end_of_a_connection_are_counted(
+    environment: dict[str, Any],
+) -> None:
+    """Guard against a request that is lost at the end of its connection without a trace."""
+    frontend, counters = caller_frontend(environment), environment["node"].node.parts.counters
+    late = request_bytes(2, "health")
+
+    peer = Peer(environment["node"].node, health_checks=1)
+    assert peer.answer()[1] == 1
+    connection = only_connection(frontend)
+    on_poller(frontend, lambda: frontend._close_idle(connection))
+    peer.sock.sendall(late)
+    assert wait_until(lambda: counters.snapshot().get("platform.discarded_bytes") == len(late))
+    peer.sock.close()
+    assert wait_until(lambda: not frontend._half_closed)
+    assert "platform.closed_unread" not in counters.snapshot()
+
+    peer = Peer(environment["node"].node, health_checks=1)
+    assert peer.answer()[1] == 1
+    connection = only_connection(frontend)
+
+    def release_before_reading() -> None:
+        peer.sock.sendall(late)
+        assert wait_until(lambda: unread_bytes(connection.sock) > 0)
+        frontend._release(connection)
+
+    on_poller(frontend, release_before_reading)
+    assert counters.snapshot().get("platform.closed_unread") == 1
+
+
 def test_sent_answers_survive_malformed_bytes_behind_their_requests(environment: dict[str, Any]) -> None:
     peer, count, unread = Peer(environment["node"].node, receive_bytes=4096), 4000, 500
     for first in range(1, count - unread + 1, unread):
