Poll a drain without a system call for each connection

What callers saw: with hundreds of connections on a small share of a core, requests that the node had received were never read and were reset at its end; once it was killed at stop_ms.

Cause: each poll of a drain, every 20 ms, asked the kernel twice for the unread bytes of every connection. On a starved core a poll was due again as it ended, and the poller served one socket a round.

Change: the poller tells from epoll whether any socket can be read, and only connections that are not shut down are examined, from the shutdown on.

--- a/reelusher/drain/connection_shutdown.py
+++ b/reelusher/drain/connection_shutdown.py
@@ -37,6 +37,10 @@
     send_buffer: SendBuffer
     phase: ConnectionPhase
 
+    @property
+    def unanswered(self) -> int:
+        """The number of requests that have not been answered."""
+
     @property
     def state(self) -> ConnectionState:
         """The work that is left on this connection."""
@@ -111,34 +115,47 @@
             self._frontend.stop_listening()
         if now >= schedule.reject_s:
             self._frontend.reject_requests()
-        for connection, state in self._ordered_connections(now, schedule):
-            self._advance(connection, state, now, schedule)
-        states = (connection.state for connection in self._frontend.connections())
-        self.observation = DrainObservation(total_state(states), now)
-
-    def _ordered_connections(
-        self, now: float, schedule: DrainSchedule
-    ) -> list[tuple[ConnectionT, ConnectionState]]:
-        """Return the connections with their states; from `shutdown_s` on, sorted by `shutdown_cost`."""
-        states = [(connection, connection.state) for connection in self._frontend.connections()]
+        for connection in self._frontend.connections():
+            if connection.phase is ConnectionPhase.SERVING:
+                connection.phase = ConnectionPhase.NOTIFIED
+                connection.send_last_call(now)
         if now >= schedule.shutdown_s:
-            states.sort(key=lambda pair: shutdown_cost(pair[1]))
-        return states
+            for connection, state in self._connections_to_shut_down():
+                self._advance(connection, state, now, schedule)
+        self.observation = DrainObservation(self._is_idle(), now)
+
+    def _is_idle(self) -> bool:
+        """Return whether no connection has work left.
+
+        This is asked at each poll, so it looks at each connection without a system call: the poller knows
+        whether any of them has unread bytes.
+        """
+        connections = self._frontend.connections()
+        has_answers_left = any(
+            connection.unanswered or connection.send_buffer.backlog for connection in connections
+        )
+        return not has_answers_left and not self._poller.has_ready()
+
+    def _connections_to_shut_down(self) -> list[tuple[ConnectionT, ConnectionState]]:
+        """Return the connections that are not shut down yet with their states, sorted by `shutdown_cost`."""
+        states = [
+            (connection, connection.state)
+            for connection in self._frontend.connections()
+            if connection.phase is not ConnectionPhase.SHUT_DOWN
+        ]
+        return sorted(states, key=lambda pair: shutdown_cost(pair[1]))
 
     def _advance(
         self, connection: ConnectionT, state: ConnectionState, now: float, schedule: DrainSchedule
     ) -> None:
-        """Move one connection through the phases that it may enter now.
+        """Shut down one connection if it may be shut down now.
 
-        From `shutdown_s` on, its received bytes are read first, and then its open requests are failed.
+        Its received bytes are read first, and then its open requests are failed.
         """
-        if connection.phase is ConnectionPhase.SERVING:
-            connection.phase = next_phase(connection.phase, state, now, schedule)
-            connection.send_last_call(now)
-        if now >= schedule.shutdown_s and state.unread_bytes:
+        if state.unread_bytes:
             self._frontend.read_pending(connection)
             state = connection.state
-        if now >= schedule.shutdown_s and state.unanswered:  # the controller or the event loop is too late
+        if state.unanswered:  # the controller or the event loop is too late
             self._frontend.fail_open_requests(connection)
             state = connection.state
         self._enter(connection, next_phase(connection.phase, state, now, schedule))
--- a/reelusher/drain/schedule.py
+++ b/reelusher/drain/schedule.py
@@ -99,7 +99,6 @@
     SERVING = 0
     NOTIFIED = 1  # its caller was asked to send nothing more
     SHUT_DOWN = 2  # its writing side is shut down, after its answers were sent or when no time was left
-    CLOSED = 3  # it was shut down, and `exit_s` has passed
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,9 +116,9 @@
 
 @dataclass(slots=True, frozen=True)
 class DrainObservation:
-    """The state of all connections of a front end at one time."""
+    """Whether no connection of a front end had work left at one time."""
 
-    state: ConnectionState
+    is_idle: bool
     observed_s: float
 
 
@@ -136,8 +135,6 @@
     if phase is ConnectionPhase.NOTIFIED and now_s >= schedule.shutdown_s and not state.unread_bytes:
         pending = state.unanswered or state.unsent_bytes
         return phase if pending and now_s < schedule.exit_s else ConnectionPhase.SHUT_DOWN
-    if phase is ConnectionPhase.SHUT_DOWN and now_s >= schedule.exit_s:
-        return ConnectionPhase.CLOSED
     return phase
 
 
@@ -169,7 +166,7 @@
             if (
                 observation is None
                 or now_s - observation.observed_s > OBSERVATION_TTL_S
-                or not observation.state.is_idle()
+                or not observation.is_idle
             ):
                 self._last_busy_s = now_s
         return now_s - max(self._last_busy_s, schedule.notify_s) >= MAX_ARRIVAL_DELAY_S
--- a/reelusher/frontends/ajp/frontend.py
+++ b/reelusher/frontends/ajp/frontend.py
@@ -96,7 +96,7 @@
                 if not self._draining:
                     self._draining = True
                     self._listener.stop()
-                self._observation = DrainObservation(self.remaining_work(), now)
+                self._observation = DrainObservation(self.remaining_work().is_idle(), now)
             time.sleep(POLL_INTERVAL_S)
 
     def remaining_work(self) -> ConnectionState:
--- a/reelusher/net/poller.py
+++ b/reelusher/net/poller.py
@@ -93,6 +93,11 @@
         """Run a callback periodically, for the first time after `seconds`."""
         heapq.heappush(self._timers, (time.monotonic() + seconds, next(self._order), seconds, callback))
 
+    def has_ready(self) -> bool:
+        """Return whether a watched socket can be read now. Only the poller's own thread may call this."""
+        self._poll_ready(0.0)
+        return any(fd != self._wakeup_fd for fd in self._ready)
+
     def _wake(self) -> None:
         with self._wakeup_lock:
             if not self._released:  # the descriptor may belong to another file by now
@@ -108,13 +113,16 @@
 
     def _run(self) -> None:
         while not self._closed:
-            for fd, _ in self._epoll.poll(self._wait_s(), MAX_EVENTS):
-                self._ready.setdefault(fd)
+            self._poll_ready(self._wait_s())
             self._run_timers()  # timers and calls run before sockets
             self._run_calls()
             self._run_ready()
         self._release()
 
+    def _poll_ready(self, wait_s: float | None) -> None:
+        for fd, _ in self._epoll.poll(wait_s, MAX_EVENTS):
+            self._ready.setdefault(fd)
+
     def _wait_s(self) -> float | None:
         """Return how long the next poll may wait in seconds; None without a limit."""
         if self._ready:
