Give sockets as much time as slow timers in each round of the poller

What callers saw: on a starved node with hundreds of connections, requests read late or, in a drain, reset at its end.

Cause: the next time of a timer counts from the start of its round. Where its callback takes longer than its interval it is due again at once, and a round served one socket however long the timers took.

Evidence: the polls of a drain did it; any slow timer can.

Change: a round serves sockets for at least as long as its timers took.

--- a/reelusher/net/poller.py
+++ b/reelusher/net/poller.py
@@ -114,9 +114,11 @@
     def _run(self) -> None:
         while not self._closed:
             self._poll_ready(self._wait_s())
+            begin_s = time.monotonic()
             self._run_timers()  # timers and calls run before sockets
+            timers_s = time.monotonic() - begin_s
             self._run_calls()
-            self._run_ready()
+            self._run_ready(timers_s)
         self._release()
 
     def _poll_ready(self, wait_s: float | None) -> None:
@@ -129,12 +131,14 @@
             return 0.0
         return max(0.0, self._timers[0][0] - time.monotonic()) if self._timers else None
 
-    def _run_ready(self) -> None:
-        """Run the callbacks of ready descriptors until a timer is due.
+    def _run_ready(self, min_s: float = 0.0) -> None:
+        """Run the callbacks of ready descriptors until a timer is due, but for at least `min_s` seconds.
 
-        On a busy processor that may be after the first one. The others come first in the next round: epoll
+        That is the time that the timers have just taken: on a busy processor they may be due again when they
+        end, and would leave time for one descriptor a round. The others come first in the next round: epoll
         returns ready descriptors in the same order each time, so that the last ones would never be served.
         """
+        until_s = time.monotonic() + min_s
         while self._ready:
             fd = next(iter(self._ready))
             del self._ready[fd]
@@ -143,7 +147,7 @@
                     os.eventfd_read(self._wakeup_fd)
             elif (callback := self._callbacks.get(fd)) is not None:
                 self._run_callback(callback)
-            if self._timers and self._timers[0][0] <= time.monotonic():
+            if self._timers and max(self._timers[0][0], until_s) <= time.monotonic():
                 return
 
     def _run_calls(self) -> None:
--- a/tests/drain/test_poller_during_drain.py
+++ b/tests/drain/test_poller_during_drain.py
@@ -55,6 +55,45 @@
         sock.close()
 
 
+def test_poller_gives_sockets_as_much_time_as_timers_that_are_always_due() -> None:
+    """Guard against slow timers that leave time for one socket in each round.
+
+    On a starved core, a drain polled hundreds of connections for longer than its interval, again and again.
+    """
+    poller, served, timer_runs, all_served = (
+        Poller("test-poller", Counters()),
+        set[int](),
+        0,
+        threading.Event(),
+    )
+    sockets = [socket.socketpair() for _ in range(100)]
+
+    def slow_timer() -> None:
+        nonlocal timer_runs
+        timer_runs += not all_served.is_set()
+        time.sleep(0.05)
+
+    def read(near: socket.socket) -> None:
+        near.recv(100)
+        time.sleep(0.001)
+        served.add(near.fileno())
+        if len(served) == len(sockets):
+            all_served.set()
+
+    for near, far in sockets:
+        poller.watch(near, partial(read, near))
+        far.send(b"request")
+    poller.every(0.01, slow_timer)
+    time.sleep(0.01)  # the timer is due in the first round already
+    poller.start()
+    assert all_served.wait(30)
+    poller.close()
+    assert timer_runs < len(sockets) / 2
+    for pair in sockets:
+        for sock in pair:
+            sock.close()
+
+
 def test_poller_runs_calls_before_it_reads_ready_sockets() -> None:
     """Guard against a drain that starts late.
 
