Divide the run with injected faults by job: changes, faults, members, checks

Change: live.py keeps the command line (106 lines); fault_run.py the run, its load and its reading of tables; tenant_changes.py, fault_injector.py, simulated_members.py and final_checks.py one job each; fault_run_context.py what they share. Tests changed in their imports.

--- a/tests/test_live_changes.py
+++ b/tests/test_live_changes.py
@@ -9,7 +9,10 @@
 from reelusher.codecs import ajp13
 from reelusher.lab.capacity import fill
 from reelusher.lab.capacity.books import ACTIVE, SUSPENDED, HistoryChecker, Row, expected_answer
-from reelusher.lab.capacity.live import FaultRun, FaultRunPlan, percentiles, revision_of, run_plan
+from reelusher.lab.capacity.fault_run import FaultRun, percentiles
+from reelusher.lab.capacity.fault_run_plan import FaultRunPlan
+from reelusher.lab.capacity.live import run_plan
+from reelusher.lab.capacity.tenant_changes import revision_of
 from reelusher.lab.capacity.wires import Callers, NoAnswerError, NodeUnreachableError
 
 FIRST, SECOND, THIRD = (1, ACTIVE), (2, ACTIVE), (3, ACTIVE)
