Compare states with those that joined through a member before it had joined

What operators saw: after a start of all at once, some nodes did not know one or several others for up to 3 s after they had joined; tenants' changes and warm starts reached them late.

Cause: members that join through a late seed get what it knows then. When the seed joins, it alone broadcasts what is new to it, 10 to 12 times each to random members; those that lack it may be missed, until the first comparison of states.

Change: a member that has joined compares states with each that joined through it before, 64 at most.

A new test without any update in datagrams failed before (not within 10 s), passes now.

--- a/reelusher/fleet/membership/state_sync.py
+++ b/reelusher/fleet/membership/state_sync.py
@@ -32,6 +32,7 @@
 # after joining: if many members join at once, each knows only some of the others
 FIRST_SYNC_DELAY_S = 0.5, 3.0
 SYNC_PAUSE_S = 0.5, 1.5  # after each comparison
+MAX_EARLY_JOINERS = 64  # early joiners that a member compares states with once it has joined itself
 # Probability that a seed that is not live is chosen, multiplied by the fleet size. All members together thus
 # try about this many such seeds in each sync interval.
 LOST_SEED_WEIGHT = 3
@@ -55,7 +56,7 @@
         self._random, self._counters, self._deliver = random, counters, deliver
         self.state_reply_limiter = TokenBucket(STATE_REPLIES_PER_S, STATE_REPLY_BURST, time.monotonic())
         self.joined = not seeds
-        self._has_joiners = False  # whether others have joined through this member before it has
+        self._early_joiners: dict[str, None] = {}  # joined through this member before it has joined itself
         self._stop = threading.Event()
         self._wake = threading.Event()
         channel.handlers[StateRequest] = self._on_state_request
@@ -74,6 +75,7 @@
     def run(self) -> None:
         """Join, then compare states periodically, and at once with members that turned out to be alive."""
         self._join()
+        self._compare_with_early_joiners()
         due_s = time.monotonic() + self._random.uniform(*FIRST_SYNC_DELAY_S)
         while not self._stop.is_set():
             self._wake.wait(max(0.0, due_s - time.monotonic()))
@@ -110,6 +112,19 @@
                 )
                 self._stop.wait(backoff.next_s())
 
+    def _compare_with_early_joiners(self) -> None:
+        """Bring those up to date that joined through this member before it knew the fleet.
+
+        Gossip alone may miss them: the fleet knows its members already, so only this one still sends news of
+        them, a few times and to random recipients.
+        """
+        with self._lock:
+            joiners = list(self._early_joiners)
+        for address in joiners:
+            if self._stop.is_set():
+                return
+            self.compare(address)
+
     def _random_partner(self) -> list[str]:
         """Return a member to compare states with, if any; now and then a seed that is not live."""
         live = set(self._swim.table.live())
@@ -142,7 +157,7 @@
         """Exchange full states with a member; return None if it does not reply."""
         with self._lock:
             # before it has joined, a member knows only others that its seeds know already, and its joiners
-            knows_more = self.joined or self._has_joiners
+            knows_more = self.joined or bool(self._early_joiners)
             updates = self._swim.full_state() if knows_more else [self._swim.own]
             request = StateRequest(self._swim.own.address, updates)
         return self._merge(self._channel.request(address, request, StateReply))
@@ -157,13 +172,14 @@
     def _merge_updates(self, updates: list[Update], now: float) -> StepResult:
         if self.joined:
             return self._swim.merge(updates, now)
-        return self._swim.join(updates, now, self._has_joiners)
+        return self._swim.join(updates, now, bool(self._early_joiners))
 
     # Requests of other members
 
     def _on_state_request(self, request: StateRequest) -> StateReply:
         with self._lock:
-            self._has_joiners = self._has_joiners or not self.joined
+            if not self.joined and len(self._early_joiners) < MAX_EARLY_JOINERS:
+                self._early_joiners[request.sender] = None
         return self._reply_with(request, self._swim.full_state)
 
     def _on_buckets_request(self, request: BucketsRequest) -> StateReply:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -35,6 +35,7 @@
     MIN_ACK_TIMEOUT_S,
     PROBE_PERIOD_S,
 )
+from reelusher.fleet.membership.gossip import BroadcastQueue
 from reelusher.fleet.membership.member_table import DEAD_TTL_S, MAX_DEAD, MAX_MEMBERS, MemberTable, bucket_of
 from reelusher.fleet.membership.messages import (
     MAX_DATAGRAM_BYTES,
@@ -945,6 +946,31 @@
     assert wait_until(lambda: all(names(node) == ["a", "b", "c", "d"] for node in everyone))
 
 
+def test_early_joiners_learn_of_the_fleet_from_their_seed_although_gossip_misses_them(
+    start: Callable[..., Membership], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against members that are unknown for seconds to those who joined through a late seed.
+
+    After a start of all at once, the few datagrams of that seed went to random members, often to others.
+    """
+    monkeypatch.setattr(state_sync, "FIRST_SYNC_DELAY_S", (60.0, 60.0))
+    monkeypatch.setattr(BroadcastQueue, "select", lambda queue, recipient, bytes_left: ([], bytes_left))
+    hold, run = threading.Event(), state_sync.StateSync.run
+
+    def run_late(sync: state_sync.StateSync) -> None:
+        if sync._swim.own.name == "a":
+            assert hold.wait(20)
+        run(sync)
+
+    monkeypatch.setattr(state_sync.StateSync, "run", run_late)
+    first = start("d", [])
+    late = start("a", [first])
+    early = [start("b", [late]), start("c", [late])]
+    assert wait_until(lambda: all(node.status()["own"]["joined"] for node in early))
+    hold.set()
+    assert wait_until(lambda: all(names(node) == ["a", "b", "c", "d"] for node in [first, late, *early]))
+
+
 def test_live_nodes_with_one_name_are_reported_and_both_kept(start: Callable[..., Membership]) -> None:
     first = start("a", [])
     start("b", [first])
