--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -919,6 +919,19 @@
     assert first._counters.snapshot()["fleet.refused_forged"] > 0
 
 
+def hold_back_join(monkeypatch: pytest.MonkeyPatch, name: str) -> threading.Event:
+    """Let the member of this name join, and compare states, only once the returned event is set."""
+    hold, run = threading.Event(), state_sync.StateSync.run
+
+    def run_late(sync: state_sync.StateSync) -> None:
+        if sync._swim.own.name == name:
+            assert hold.wait(20)
+        run(sync)
+
+    monkeypatch.setattr(state_sync.StateSync, "run", run_late)
+    return hold
+
+
 def test_seed_that_joins_late_brings_the_members_on_both_sides_together(
     start: Callable[..., Membership], monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -927,14 +940,7 @@
     Some had joined through a seed that had not joined itself. When it did, it told neither side of the other.
     """
     monkeypatch.setattr(state_sync, "FIRST_SYNC_DELAY_S", (60.0, 60.0))  # only the join may tell them
-    hold, run = threading.Event(), state_sync.StateSync.run
-
-    def run_late(sync: state_sync.StateSync) -> None:
-        if sync._swim.own.name == "a":
-            assert hold.wait(20)
-        run(sync)
-
-    monkeypatch.setattr(state_sync.StateSync, "run", run_late)
+    hold = hold_back_join(monkeypatch, "a")
     first = start("c", [])
     late = start("a", [first])
     everyone = [first, late, start("b", [late]), start("d", [first])]
@@ -955,14 +961,7 @@
     """
     monkeypatch.setattr(state_sync, "FIRST_SYNC_DELAY_S", (60.0, 60.0))
     monkeypatch.setattr(BroadcastQueue, "select", lambda queue, recipient, bytes_left: ([], bytes_left))
-    hold, run = threading.Event(), state_sync.StateSync.run
-
-    def run_late(sync: state_sync.StateSync) -> None:
-        if sync._swim.own.name == "a":
-            assert hold.wait(20)
-        run(sync)
-
-    monkeypatch.setattr(state_sync.StateSync, "run", run_late)
+    hold = hold_back_join(monkeypatch, "a")
     first = start("d", [])
     late = start("a", [first])
     early = [start("b", [late]), start("c", [late])]
