Review, case 2: a leader put back from a backup leaves two copies that differ for good

Change: the case takes the place of the one on durable keys, which has the cause of case 1; the members move to the stand-ins.

--- a/review/build.sh
+++ b/review/build.sh
@@ -14,7 +14,8 @@
     ast.parse(path.read_text(), str(path))
 import reelusher.codecs.ajp13
 import reelusher.codecs.msgpack
-import reelusher.fleet.replication.positions
+
+import standins.fleet
 import standins.hosted
 import standins.platform
 
