--- a/review/1/case.py
+++ b/review/1/case.py
@@ -98,11 +98,11 @@
         temporary.write_text(json.dumps({**self._config, "settings": settings(categories)}))
         temporary.rename(self._path)
 
-    def start(self) -> None:
+    def start(self, within_s: float = 20.0) -> None:
         """Start the process, and wait until its health check says yes."""
         environment = {"PROXY_CONFIG": str(self._path), "TMPDIR": str(self._case.folder)}
         self.node = self._case.start_node(self.name, environment)
-        wait_until(f"{self.name} says yes", self._says_yes)
+        wait_until(f"{self.name} says yes", self._says_yes, within_s)
         self._case.record(f"{self.name}: GET /healthcheck says yes")
 
     def _says_yes(self) -> bool:
@@ -140,7 +140,7 @@
         raise CouldNotRunError(f"the first try was answered {verdict}")
 
     new.write_config(classes)  # the same file as the old process has now
-    new.start()
+    new.start(within_s=6)
     old.node.signal(signal.SIGTERM)
     if old.node.wait(6) != 0 or "handing over" not in old.node.log():
         raise CouldNotRunError("the old process did not hand over")
