Review: a case whose own program fails to start exits with 2, not with 1

Cause: run.sh passed on the 1 with which Python ends after a failed import, which reads as a broken rule (seen with a library taken away: exit 1).

--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -16,7 +16,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 LIMIT_S = 110  # a case ends itself before its limit of 120 s
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# run.sh turns these into 0, 1 and 2; any other status, such as the 1 of an exception, is 2 there
+HELD, BROKEN, COULD_NOT_RUN = 20, 21, 22
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LOOPBACK = "127.0.0.1"
 
