Count the keys that a process locks, and those it finds locked by another process

Three counters say it. On the case: the old process keys.locked 1, the new process keys.locked 1 and keys.locked_elsewhere 0; without the disruption (TROUBLE=0) the new process has keys.locked_elsewhere 1. The folder of locks then holds two files for the one key with the same digest of the body, neither expired: their names are the digests of (tenant, 3, key) and (tenant, 2, key). So both processes looked, in the same folder, under two names.

--- a/reelusher/core/deduplication.py
+++ b/reelusher/core/deduplication.py
@@ -135,12 +135,14 @@
         started_us = context.now_us
 
         def on_decided(locked: bool) -> None:
+            context.counters.add("keys.locked" if locked else "keys.lock_failed")
             if locked:
                 self._persist(attempt_id, entry, unix_ahead_us)
             else:
                 context.post(KeyPersisted(attempt_id, False))
 
         def on_result_elsewhere(result: Result | None) -> None:
+            context.counters.add("keys.locked_elsewhere")
             outcome = Outcome.ERROR if result is None else Outcome.OK
             duration_us = max(0, context.clock.now() - started_us)
             context.post(RunFinished(request.run_id, outcome, duration_us, result))
