Scope idempotency keys by the name of their class, which all processes share

Cause: IdempotencyKey held the index of the class in one process. A reload keeps the indexes of the start and appends new ones; a process started later counts the classes of the file as it is then.

Change: the key holds the name of the class; no index leaves the process. Files of earlier builds don't tell which class had the index, so a stored key counts for every class of the start, and a lock file under any index counts for the key. Recorded files of the build before are kept as they were and read by two new tests.

--- a/reelusher/assembly/hosted.py
+++ b/reelusher/assembly/hosted.py
@@ -61,7 +61,7 @@
         backends,
     )
     if admin and admin.durable_keys:
-        _recover_keys(parts, Path(admin.state_dir))
+        _recover_keys(parts, Path(admin.state_dir), operator.class_names)
     stored = store.checked_tenants(operator.class_names, backends)
     tenants = [(tenant, TenantState(state)) for tenant, state in stored]
     registry = TenantRegistry(
@@ -70,9 +70,9 @@
     return TenantParts(registry, store, None)
 
 
-def _recover_keys(parts: NodeParts, directory: Path) -> None:
+def _recover_keys(parts: NodeParts, directory: Path, class_names: tuple[str, ...]) -> None:
     """Restore the idempotency keys that earlier processes of this node stored; store new ones from now on."""
-    log = tenant_store.open_key_log(directory)
+    log = tenant_store.open_key_log(directory, class_names)
     for request_id, entry in enumerate(log.unexpired(), FIRST_RECOVERED_REQUEST_ID):
         digest = bytes.fromhex(entry.body_digest)
         parts.core.keys.restore(entry.idempotency_key, request_id, entry.expires_us, digest)
--- a/reelusher/core/context.py
+++ b/reelusher/core/context.py
@@ -41,7 +41,6 @@
         self.timers = Timers()
         self.pending_events: list[Event] = []  # passed to the controller at the end of the batch
         self.now_us = 0  # time of the current batch
-        self._first_index_by_name = {name: index for index, name in enumerate(class_names)}
 
     def class_name(self, class_index: int) -> str:
         """Return the name of a class by its index."""
@@ -51,10 +50,6 @@
         """Return the name of the class that an attempt belongs to."""
         return self.class_names[attempt.request.class_index]
 
-    def first_index(self, class_index: int) -> int:
-        """Return the first index that a class of the same name had; reloads may have added others."""
-        return self._first_index_by_name[self.class_names[class_index]]
-
     def apply_settings(
         self, settings: Settings, gauge_fields: list[str], class_names: list[str]
     ) -> dict[str, int]:
@@ -67,8 +62,6 @@
         index_by_name = _add_classes(classes, names, settings, class_names)
         if len(classes) > MAX_CLASSES:
             raise ValueError(f"more than {MAX_CLASSES} classes since the start")
-        for index, name in enumerate(names):
-            self._first_index_by_name.setdefault(name, index)
         # a reload cannot change whether the machine started cold
         self.settings = replace(settings, classes=classes, cold_start=self.settings.cold_start)
         self.gauge_fields, self.class_names = gauge_fields, names
--- a/reelusher/core/deduplication.py
+++ b/reelusher/core/deduplication.py
@@ -208,9 +208,8 @@
             self._table.remove(attempt.id)
 
     def _table_key(self, request: IncomingRequest) -> IdempotencyKey:
-        # a reload gives a changed class a new index; keys keep the first index so that retries still match
-        class_index = self._context.first_index(request.class_index)
-        return IdempotencyKey(request.tenant, class_index, request.idempotency_key)
+        class_name = self._context.class_name(request.class_index)
+        return IdempotencyKey(request.tenant, class_name, request.idempotency_key)
 
 
 def _digest(request: IncomingRequest) -> bytes:
--- a/reelusher/core/messages.py
+++ b/reelusher/core/messages.py
@@ -10,10 +10,14 @@
 
 
 class IdempotencyKey(NamedTuple):
-    """An idempotency key with its scope: each class of each tenant has its own key space."""
+    """An idempotency key with its scope: each class of each tenant has its own key space.
+
+    Keys are shared with other processes and with later starts of the node. So their scope is the name of the
+    class: its index is known to one process only, and a reload or another file gives it another one.
+    """
 
     tenant: str
-    class_index: int
+    class_name: str
     key: str
 
 
--- a/reelusher/lab/capacity/keys.py
+++ b/reelusher/lab/capacity/keys.py
@@ -39,7 +39,7 @@
         table = IdempotencyTable(LONGEST_DEADLINE_US, 1 << 40)
         for number in range(size):
             table.put(
-                IdempotencyKey(f"tenant-{number % 100}", 1, f"key-{number:016x}"),
+                IdempotencyKey(f"tenant-{number % 100}", "visits", f"key-{number:016x}"),
                 number,
                 WINDOW_US + number,
                 b"%016d" % number,
--- a/reelusher/lab/capacity/state.py
+++ b/reelusher/lab/capacity/state.py
@@ -81,7 +81,9 @@
         directory = KeyLockDirectory(Path(name) / "hosted-1.keys")
         began = time.process_time()
         for number in range(size):
-            directory.create(IdempotencyKey("tenant-0", 1, f"key-{number}"), KeyLock(1_000_000, "0" * 32), 0)
+            directory.create(
+                IdempotencyKey("tenant-0", "visits", f"key-{number}"), KeyLock(1_000_000, "0" * 32), 0
+            )
         lock_us = (time.process_time() - began) / size * 1e6
         files = sum(1 for path in next(Path(name).iterdir()).iterdir())
         sweep_ms = cpu_us_per_call(lambda: _search_expired(directory)) / 1000
--- a/reelusher/storage/key_log.py
+++ b/reelusher/storage/key_log.py
@@ -20,7 +20,8 @@
 from reelusher.storage.journal import Journal
 
 MAX_KEYS_PER_WRITE = 500
-VERSION = 1
+VERSION = 2
+VERSION_BY_CLASS_INDEX = 1  # its records name the class by its index in the file of the start that wrote them
 WITHDRAWN_US = 0  # `expires_us` of a record that withdraws a key whose request never ran
 
 
@@ -28,7 +29,7 @@
     """One key as it is stored: an array in the order of these fields."""
 
     tenant: str
-    class_index: int
+    class_name: str
     key: str
     expires_us: int  # Unix time, or `WITHDRAWN_US`
     body_digest: str  # hexadecimal
@@ -36,7 +37,24 @@
     @property
     def idempotency_key(self) -> IdempotencyKey:
         """Return the key as the idempotency table has it."""
-        return IdempotencyKey(self.tenant, self.class_index, self.key)
+        return IdempotencyKey(self.tenant, self.class_name, self.key)
+
+
+class IndexedKeyRecord(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """One key as `VERSION_BY_CLASS_INDEX` stored it."""
+
+    tenant: str
+    class_index: int
+    key: str
+    expires_us: int
+    body_digest: str
+
+    def in_each_class(self, class_names: Iterable[str]) -> list[KeyRecord]:
+        """Return a record for each class, since it is not known which one had the index."""
+        return [
+            KeyRecord(self.tenant, class_name, self.key, self.expires_us, self.body_digest)
+            for class_name in class_names
+        ]
 
 
 class KeyBatch(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -46,6 +64,19 @@
     version: int = msgspec.field(default=VERSION, name="v")
 
 
+class IndexedKeyBatch(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The payload that `VERSION_BY_CLASS_INDEX` wrote."""
+
+    keys: list[IndexedKeyRecord]
+    version: int = msgspec.field(name="v")
+
+
+class PayloadVersion(msgspec.Struct, frozen=True):
+    """The version of a payload, whatever else it holds."""
+
+    version: int = msgspec.field(name="v")
+
+
 @dataclass(slots=True, frozen=True)
 class PendingWrite:
     """A key to write, and a callback for the result."""
@@ -54,14 +85,17 @@
     done: Callable[[bool], None]  # called with whether the write succeeded, on the thread of the log
 
 
-def _decode(payload: bytes) -> KeyBatch:
+def _decode(payload: bytes, class_names: Iterable[str]) -> list[KeyRecord]:
     try:
-        batch = msgspec.json.decode(payload, type=KeyBatch)
+        version = msgspec.json.decode(payload, type=PayloadVersion).version
+        if version == VERSION:
+            return msgspec.json.decode(payload, type=KeyBatch).keys
+        if version == VERSION_BY_CLASS_INDEX:
+            indexed_records = msgspec.json.decode(payload, type=IndexedKeyBatch).keys
+            return [record for indexed in indexed_records for record in indexed.in_each_class(class_names)]
     except msgspec.MsgspecError as error:
         raise JournalError(f"kept keys: {error}") from None
-    if batch.version != VERSION:
-        raise JournalError(f"kept keys: version {batch.version} is not known here")
-    return batch
+    raise JournalError(f"kept keys: version {version} is not known here")
 
 
 def _ignore(succeeded: bool) -> None:
@@ -72,10 +106,16 @@
     """The journal of keys. `persist` and `forget` never block; the thread of the log does the writing."""
 
     def __init__(
-        self, directory: Directory, now_us: Callable[[], int] = lambda: time.time_ns() // 1000
+        self,
+        directory: Directory,
+        now_us: Callable[[], int] = lambda: time.time_ns() // 1000,
+        class_names: Iterable[str] = (),
     ) -> None:
         """Read the stored keys; `now_us` returns Unix time in microseconds.
 
+        `class_names` are the classes of this start: a key that an earlier version of the program stored
+        without the name of its class counts for each of them.
+
         Raises `JournalError`, and `OSError` if a file can't be read or written.
         """
         self._now_us = now_us
@@ -84,9 +124,9 @@
         self._pending: queue.SimpleQueue[PendingWrite | None] = queue.SimpleQueue()
         recovery = self._journal.recover()
         if recovery.snapshot:
-            self._apply(_decode(recovery.snapshot).keys)
+            self._apply(_decode(recovery.snapshot, class_names))
         for change in recovery.changes:
-            self._apply(_decode(change.payload).keys)
+            self._apply(_decode(change.payload, class_names))
 
     def unexpired(self) -> list[KeyRecord]:
         """Return the keys that have not expired."""
--- a/reelusher/tenancy/tenant_store.py
+++ b/reelusher/tenancy/tenant_store.py
@@ -209,10 +209,10 @@
         store.import_tenants(old_tenants, str(old_file))
 
 
-def open_key_log(directory: Path) -> KeyLog:
+def open_key_log(directory: Path, class_names: tuple[str, ...]) -> KeyLog:
     """Open the journal of idempotency keys in a state directory; raises `ConfigError`."""
     try:
-        return KeyLog(LockedDirectory(directory / "keys"))
+        return KeyLog(LockedDirectory(directory / "keys"), class_names=class_names)
     except (JournalError, OSError) as error:
         raise ConfigError("admin.durable_keys", str(error)) from None
 
--- a/reelusher/upgrade/key_lock_directory.py
+++ b/reelusher/upgrade/key_lock_directory.py
@@ -12,10 +12,12 @@
 from pathlib import Path
 from typing import Any
 
+from reelusher.core.context import MAX_CLASSES
 from reelusher.core.messages import IdempotencyKey, Result
 
 DIRECTORY_LOCK = "lock"  # a process locks this file to create the lock of a key or to remove an expired one
-NAME_BYTES = 16  # size of the digest that is the file name of a key
+FILE_PREFIX = "class-"  # tells the files of keys with the name of their class from older ones with its index
+DIGEST_BYTES = 16  # size of the digest in the file name of a key
 DIRECTORY_MODE, FILE_MODE = 0o700, 0o600
 
 
@@ -50,18 +52,34 @@
         self._folder.mkdir(mode=DIRECTORY_MODE, exist_ok=True)
         flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
         self._lock_descriptor = os.open(self._folder / DIRECTORY_LOCK, flags, FILE_MODE)
+        # files that an earlier version of the program named by the index of the class
+        self._indexed_names: frozenset[str] = frozenset()
+        self.paths()
 
     def path(self, key: IdempotencyKey) -> Path:
         """Return the path of the file of a key."""
-        name = json.dumps(key).encode()
-        return self._folder / blake2b(name, digest_size=NAME_BYTES).hexdigest()
+        return self._folder / f"{FILE_PREFIX}{_digest(*key)}"
 
     def read(self, key: IdempotencyKey, at_us: int) -> KeyLock | None:
         """Return the lock of a key, or None if there is none or it had expired at `at_us` (Unix time).
 
         Raises KeyLockError if the file is malformed, and OSError if it can't be read.
         """
-        return _read(self.path(key), at_us)
+        return _read(self.path(key), at_us) or self._read_indexed(key, at_us)
+
+    def _read_indexed(self, key: IdempotencyKey, at_us: int) -> KeyLock | None:
+        """Return a lock that an earlier version of the program made of a key.
+
+        The index that the class had there is not known here, so a lock under any index counts.
+        """
+        if not self._indexed_names:
+            return None
+        for class_index in range(MAX_CLASSES):
+            name = _digest(key.tenant, class_index, key.key)
+            lock = _read(self._folder / name, at_us) if name in self._indexed_names else None
+            if lock is not None:
+                return lock
+        return None
 
     def create(self, key: IdempotencyKey, lock: KeyLock, received_us: int) -> KeyLock | None:
         """Create the lock of a key and return None, or return the lock that exists.
@@ -84,7 +102,7 @@
         Nothing is changed unless the lock exists and its run has not ended. Raises KeyLockError if the file
         is malformed, and OSError if it can't be read or written.
         """
-        lock = self.read(key, 0)
+        lock = _read(self.path(key), 0)
         if lock is not None and lock.state is RunState.RUNNING:
             state = RunState.FAILED if result is None else RunState.SUCCEEDED
             self.write(key, replace(lock, state=state, result=result))
@@ -109,7 +127,9 @@
 
     def paths(self) -> list[Path]:
         """Return the paths of the files of all keys."""
-        return [path for path in self._folder.iterdir() if path.name != DIRECTORY_LOCK]
+        paths = [path for path in self._folder.iterdir() if path.name != DIRECTORY_LOCK]
+        self._indexed_names = frozenset(path.name for path in paths if not path.name.startswith(FILE_PREFIX))
+        return paths
 
     def remove_if_expired(self, path: Path, at_us: int) -> None:
         """Remove a lock that had expired at `at_us` (Unix time); a file that can't be read is left."""
@@ -127,6 +147,12 @@
             fcntl.flock(self._lock_descriptor, fcntl.LOCK_UN)
 
 
+def _digest(tenant: str, class_name_or_index: str | int, key: str) -> str:
+    """Return the digest that names the file of a key, as hexadecimal digits."""
+    scope = json.dumps((tenant, class_name_or_index, key)).encode()
+    return blake2b(scope, digest_size=DIGEST_BYTES).hexdigest()
+
+
 def _read(path: Path, at_us: int) -> KeyLock | None:
     try:
         fields = json.loads(path.read_bytes())
--- a/tests/core/test_idempotency_table.py
+++ b/tests/core/test_idempotency_table.py
@@ -6,7 +6,7 @@
 
 def test_entry_names_the_original_by_arrival_time_however_late_a_retry_is_read() -> None:
     table = IdempotencyTable(retention_us=100)
-    key = IdempotencyKey("t", 0, "k")
+    key = IdempotencyKey("t", "visits", "k")
     table.put(key, 7, expires_us=50)
     assert table.original_id(key, 50) == 7
     assert table.original_id(key, 51) == 0
@@ -22,7 +22,7 @@
 
 def test_newer_original_takes_a_key_over_and_keeps_it_when_the_older_is_removed() -> None:
     table = IdempotencyTable(retention_us=0)
-    key = IdempotencyKey("t", 0, "k")
+    key = IdempotencyKey("t", "visits", "k")
     table.put(key, 1, 10)
     table.put(key, 2, 90)
     table.remove(1)
@@ -32,7 +32,7 @@
 def test_stored_results_stay_within_their_memory_and_the_oldest_are_dropped_first() -> None:
     table = IdempotencyTable(retention_us=0, max_result_bytes=25)
     for original_id in (1, 2, 3):
-        table.put(IdempotencyKey("t", 0, str(original_id)), original_id, 99)
+        table.put(IdempotencyKey("t", "visits", str(original_id)), original_id, 99)
     dropped = [table.store_result(entry, Result(b"x" * 10)) for entry in list(table)]
     assert dropped == [0, 0, 1]
     assert [entry.result is None for entry in table] == [True, False, False]
--- a/tests/core_harness.py
+++ b/tests/core_harness.py
@@ -1,5 +1,6 @@
 """A core with a virtual clock, and a backend that records its commands, for tests of several packages."""
 
+from collections.abc import Sequence
 from typing import Any
 
 from helpers import KEYED, MUST_CALL, SAFE, small_node_settings
@@ -13,6 +14,7 @@
     Verdict,
 )
 from reelusher.policy.events import Outcome
+from reelusher.policy.settings import RequestClass
 
 OK, ERROR = Outcome.OK, Outcome.ERROR
 CLASSES = (SAFE, MUST_CALL, KEYED)
@@ -37,16 +39,22 @@
 class CoreHarness:
     """A core with a virtual clock, its backend, and the answers that it gave by run id."""
 
-    def __init__(self, **changes: Any) -> None:
+    def __init__(
+        self,
+        classes: Sequence[RequestClass] = CLASSES,
+        class_names: Sequence[str] | None = None,
+        **changes: Any,
+    ) -> None:
         self.time = 1_000_000_000_000  # current time of the virtual clock, in microseconds
         self.backend = Backend()
         self.answers: dict[str, list[Answer]] = {}
         self.core = Core(
-            small_node_settings(*CLASSES, **changes),
+            small_node_settings(*classes, **changes),
             [],
             1,
             self.backend,
             self.backend,
+            class_names=None if class_names is None else list(class_names),
             clock=Clock(*[lambda: self.time * 1000] * 2),
         )
         self.core.process_batch([])
--- a/tests/golden/test_stored_data.py
+++ b/tests/golden/test_stored_data.py
@@ -34,13 +34,14 @@
 
 GOLDEN = "stored.json"
 FOLDER = "stored"
+BY_CLASS_INDEX = "stored_by_class_index"  # keys and key locks of builds that named a class by its index
 FROM_OLD_FILE = "stored_from_old_file.json"
 CONTROL = ("c1", "c2")
 START_MS, START_US = 1_700_000_000_000, 1_700_000_000_000_000
 WINDOW_US = 20_000_000
-RUNNING = IdempotencyKey("platform", 2, "running")
-ENDED = IdempotencyKey("clinic", 0, "ended")
-FAILED = IdempotencyKey("", 1, "failed")
+RUNNING = IdempotencyKey("platform", "book-visit", "running")
+ENDED = IdempotencyKey("clinic", "day-view", "ended")
+FAILED = IdempotencyKey("", "lab-order", "failed")
 
 
 def tenant(name: str, **more: Any) -> dict[str, Any]:
@@ -93,7 +94,7 @@
         log.persist(key, START_US + (number + 1) * WINDOW_US, bytes([number] * 8), done.append)
         assert wait_until(lambda number=number: len(done) == number + 1)  # type: ignore[misc]  # so each key has its own frame
     log.forget(FAILED)
-    log.persist(IdempotencyKey("x", 0, "last"), START_US + WINDOW_US, b"last", done.append)
+    log.persist(IdempotencyKey("x", "day-view", "last"), START_US + WINDOW_US, b"last", done.append)
     assert wait_until(lambda: len(done) == 4)
     assert all(done)
     log.close()
@@ -120,7 +121,7 @@
         )
     key_locks.complete(ENDED, Result(b"body \xff", 201, (("content-type", "text/plain"),)))
     key_locks.complete(FAILED, None)
-    key_locks.release(IdempotencyKey("never", 0, "there"))
+    key_locks.release(IdempotencyKey("never", "day-view", "there"))
     lock_folder = folder / "node_3.keys"
     assert wait_until(
         lambda: sorted(state for state, _ in key_locks_in(lock_folder)) == ["failed", "ok", "runs"]
@@ -317,7 +318,7 @@
     assert {(entry.idempotency_key, entry.expires_us, entry.body_digest) for entry in log.unexpired()} == {
         (RUNNING, START_US + WINDOW_US, "00" * 8),
         (ENDED, START_US + 2 * WINDOW_US, "01" * 8),
-        (("x", 0, "last"), START_US + WINDOW_US, b"last".hex()),
+        (("x", "day-view", "last"), START_US + WINDOW_US, b"last".hex()),
     }
     directory.close()
     directory = LockedDirectory(recorded / "keys")
@@ -327,8 +328,9 @@
     directory.close()
 
 
-def test_recorded_key_locks_keep_another_process_from_running_their_keys(recorded: Path) -> None:
-    key_locks = KeyLockFiles(recorded / "claims", "node 3", lambda: START_US + 1)
+def outcomes_in_another_process(folder: Path) -> dict[str, list[Any]]:
+    """Request each recorded key lock, and return what each request was told until two were decided."""
+    key_locks = KeyLockFiles(folder, "node 3", lambda: START_US + 1)
     results: dict[str, list[Any]] = {"running": [], "ended": [], "failed": []}
     key_locks.start()
     for key in (RUNNING, ENDED, FAILED):
@@ -345,12 +347,43 @@
             )
         )
     assert wait_until(lambda: results["ended"] and results["failed"])
-    assert results == {
-        "running": [],
-        "failed": [None],
-        "ended": [Result(b"body \xff", 201, (("content-type", "text/plain"),))],
-    }
     key_locks.close()
+    return results
+
+
+RECORDED_OUTCOMES = {
+    "running": [],
+    "failed": [None],
+    "ended": [Result(b"body \xff", 201, (("content-type", "text/plain"),))],
+}
+
+
+def test_recorded_key_locks_keep_another_process_from_running_their_keys(recorded: Path) -> None:
+    assert outcomes_in_another_process(recorded / "claims") == RECORDED_OUTCOMES
+
+
+def test_key_locks_of_earlier_builds_keep_this_one_from_running_their_keys(tmp_path: Path) -> None:
+    """Guard against a second run of a key that a build locked which named its class by an index."""
+    shutil.copytree(path_of(BY_CLASS_INDEX), tmp_path / "recorded")
+    assert outcomes_in_another_process(tmp_path / "recorded" / "claims") == RECORDED_OUTCOMES
+
+
+def test_keys_stored_by_earlier_builds_count_for_every_class(tmp_path: Path) -> None:
+    """Guard against a second run of a key that a build stored which named its class by an index."""
+    shutil.copytree(path_of(BY_CLASS_INDEX), tmp_path / "recorded")
+    directory = LockedDirectory(tmp_path / "recorded" / "keys")
+    class_names = ("book-visit", "day-view")
+    records = KeyLog(directory, lambda: START_US, class_names).unexpired()
+    directory.close()
+    assert {(record.idempotency_key, record.expires_us, record.body_digest) for record in records} == {
+        ((tenant_name, class_name, key), START_US + windows * WINDOW_US, digest)
+        for tenant_name, key, windows, digest in (
+            ("platform", "running", 1, "00" * 8),
+            ("clinic", "ended", 2, "01" * 8),
+            ("x", "last", 1, b"last".hex()),
+        )
+        for class_name in class_names
+    }
 
 
 def test_processes_of_a_node_find_each_other_by_the_recorded_names(tmp_path: Path) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -93,10 +93,13 @@
         self.thread = threading.Thread(target=lambda: self.drain_results.append(node.drain()), daemon=True)
 
     def send(self, words: list[str]) -> None:
-        """Carry out `start`, `idle US`, `reload ...`, `block owner|poller SECONDS` or `term`."""
-        if words[0] == "start":  # node2, with runtime2 and its own address for operators
+        """Carry out `start ...`, `idle US`, `reload ...`, `block owner|poller SECONDS` or `term`."""
+        if (
+            words[0] == "start"
+        ):  # node2, with runtime2, its own address for operators, and classes as in `reload`
             config = platform_config(
                 self.environment,
+                settings=changed_settings(dict(word.split("=") for word in words[1:])),
                 runtime="{}:{}".format(*self.environment["runtime2"].address),
                 listen="{}:{}".format(*self.environment["places"]["platform"]),
             )
--- a/tests/storage/test_key_log.py
+++ b/tests/storage/test_key_log.py
@@ -4,6 +4,7 @@
 
 import pytest
 from core_harness import CoreHarness
+from helpers import KEYED, SAFE
 
 from reelusher.core.messages import IdempotencyKey, KeyPersisted, Verdict
 from reelusher.storage import frames, journal
@@ -11,9 +12,9 @@
 from storage.faulty_directory import FaultyDirectory
 
 
-def core_with(log: KeyLog) -> CoreHarness:
-    """Return a core with durable keys, restored from a log."""
-    harness = CoreHarness()
+def core_with(log: KeyLog, class_names: tuple[str, ...] = ("a", "b", "visits")) -> CoreHarness:
+    """Return a core with durable keys, restored from a log; only requests of `visits` are keyed."""
+    harness = CoreHarness([KEYED if name == "visits" else SAFE for name in class_names], class_names)
     for number, record in enumerate(log.unexpired()):
         harness.core.keys.restore(
             record.idempotency_key, (1 << 40) + number, record.expires_us, bytes.fromhex(record.body_digest)
@@ -65,8 +66,26 @@
     monkeypatch.setattr(journal, "COMPACT_AFTER_BYTES", 1)
     log, results = KeyLog(FaultyDirectory(), lambda: 0), list[bool]()
     for number in range(3):
-        log.persist(IdempotencyKey("t", 0, f"k{number}"), 1_000_000, b"digest", results.append)
+        log.persist(IdempotencyKey("t", "visits", f"k{number}"), 1_000_000, b"digest", results.append)
         log.close()
         monkeypatch.setattr(frames, "MAX_PAYLOAD_BYTES", 100)  # one key, and no snapshot of several
         log.run()
     assert results == [True, True, True]
+
+
+@pytest.mark.parametrize("class_names", [("a", "new", "b", "visits"), ("b", "visits"), ("visits", "b", "a")])
+def test_durable_key_is_found_after_a_restart_with_other_classes(class_names: tuple[str, ...]) -> None:
+    """Guard against a second run after a restart: a key was stored with the index that its class had then."""
+    now_us, disk = CoreHarness().time, FaultyDirectory()
+    log = KeyLog(disk, lambda: now_us)
+    harness = core_with(log)
+    harness.process(harness.request("first", 2, "k"))
+    log.close()
+    log.run()
+    harness.process(*harness.core.queued_messages())
+    assert [command[:2] for command in harness.backend.commands] == [("start", "first")]
+    restarted = core_with(KeyLog(disk.restart(random.Random(1)), lambda: now_us), class_names)
+    restarted.process(restarted.request("retry", class_names.index("visits"), "k"))
+    restarted.process(later_us=100_000)
+    assert restarted.verdicts("retry") == [Verdict.FAILED]
+    assert restarted.backend.commands == []
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -466,6 +466,45 @@
         c4 expect 2 ok s
         node2 send term
         node2 expect left""",
+    # The keys of a class must not depend on the classes above it: both processes ran one key.
+    "a key runs in one process though a reload has dropped a class above its own": """
+        node send reload 1 drop=slot-search
+        node expect count reload.done 1
+        c1 send 1 book-visit key=K body=a
+        runtime expect start * book-visit a as X
+        runtime send end $X ok r
+        c1 expect 1 ok r
+        node send start drop=slot-search
+        runtime2 expect sync 0
+        desk expect ready
+        node send term
+        c1 expect lastCall
+        c2 send 1 book-visit key=K body=a
+        c2 expect 1 ok r
+        node2 expect count keys.locked_elsewhere 1
+        runtime2 expect nothing
+        node expect left
+        node2 send term
+        node2 expect left""",
+    "a key runs in one process though a class above its own is dropped between its tries": """
+        c1 send 1 book-visit key=K body=a
+        runtime expect start * book-visit a as X
+        node send reload 1 drop=slot-search
+        node expect count reload.done 1
+        node send start drop=slot-search
+        runtime2 expect sync 0
+        desk expect ready
+        node send term
+        c1 expect lastCall
+        c2 send 1 book-visit key=K body=a
+        runtime2 expect nothing
+        runtime send end $X ok r
+        c1 expect 1 ok r
+        c2 expect 1 ok r
+        node2 expect count keys.locked_elsewhere 1
+        node expect left
+        node2 send term
+        node2 expect left""",
     "a key whose run failed in the old process fails in the new one, a key that never ran is run there": """
         c1 send 1 book-visit key=K body=a
         runtime expect start * book-visit a as X
--- a/tests/upgrade/test_key_locks.py
+++ b/tests/upgrade/test_key_locks.py
@@ -11,17 +11,18 @@
 
 import pytest
 from core_harness import CoreHarness
-from helpers import wait_until
+from helpers import KEYED, SAFE, wait_until
 from storage.faulty_directory import FaultyDirectory
 
 from reelusher.core.deduplication import DIGEST_BYTES
-from reelusher.core.messages import IdempotencyKey, KeyLockRequest, Result, Verdict
+from reelusher.core.messages import IdempotencyKey, KeyLockRequest, Result, RunFinished, Verdict
+from reelusher.policy.events import Outcome
 from reelusher.storage.key_log import KeyLog
 from reelusher.upgrade import key_locks
 from reelusher.upgrade.key_lock_directory import KeyLock
 from reelusher.upgrade.key_locks import KeyLockFiles
 
-KEY = IdempotencyKey("platform", 2, "k1")
+KEY = IdempotencyKey("platform", "2", "k1")
 SECOND_US = 1_000_000
 
 
@@ -117,7 +118,7 @@
     outcomes: list[Any] = []
     locks.acquire(
         KeyLockRequest(
-            IdempotencyKey("platform", 2, "k2"),
+            IdempotencyKey("platform", "2", "k2"),
             0,
             processes.now_us,
             processes.now_us,
@@ -232,7 +233,7 @@
     monkeypatch.setattr(key_locks, "EXPIRY_INTERVAL_S", 0.1)
     locks = processes.locks[0]
     processes.locks[1].close()
-    expired, valid = ([IdempotencyKey("platform", 2, f"{kind}{n}") for n in range(100)] for kind in "ev")
+    expired, valid = ([IdempotencyKey("platform", "2", f"{kind}{n}") for n in range(100)] for kind in "ev")
     for key in expired:
         locks.directory.write(key, KeyLock(processes.now_us, "b"))
     for key in valid:
@@ -253,3 +254,39 @@
     with never_idle(processes.locks[1]):
         processes.locks[0].complete(KEY, Result(b"made"))
         assert receives(waiting, Result(b"made"))
+
+
+OTHER_CLASSES = {  # the classes of the second process, where those of the first are a, b and VISITS
+    "added": ("a", "new", "b", "visits"),
+    "dropped": ("b", "visits"),
+    "reordered": ("visits", "b", "a"),
+}
+
+
+def core_with_classes(class_names: tuple[str, ...], locks: KeyLockFiles) -> CoreHarness:
+    """Return a core with these classes, of which only `visits` is keyed."""
+    classes = [KEYED if name == "visits" else SAFE for name in class_names]
+    harness = CoreHarness(classes, class_names)
+    harness.core.deduplication.key_locks = locks
+    return harness
+
+
+def send_keyed(harness: CoreHarness, class_names: tuple[str, ...]) -> None:
+    """Send a try of one key, and let its core process what its key locks decide."""
+    harness.process(harness.request("try", class_names.index("visits"), "k"))
+    assert wait_until(harness.core.has_queued_messages)
+    harness.process(*harness.core.queued_messages())
+
+
+@pytest.mark.parametrize("change", OTHER_CLASSES)
+def test_key_is_locked_for_a_process_with_other_classes(processes: TwoProcesses, change: str) -> None:
+    """Guard against two runs of one key: its lock was named by the index of its class in one process."""
+    processes.now_us = CoreHarness().time
+    first = core_with_classes(("a", "b", "visits"), processes.locks[0])
+    send_keyed(first, ("a", "b", "visits"))
+    assert ("start", "try") in first.backend.commands
+    first.process(RunFinished("try", Outcome.OK, 1000, Result(b"made")))
+    second = core_with_classes(OTHER_CLASSES[change], processes.locks[1])
+    send_keyed(second, OTHER_CLASSES[change])
+    assert second.backend.commands == []
+    assert [answer.result for answer in second.answers["try"]] == [Result(b"made")]
