Use the classes in use for requests over AJP too, so that SIGHUP counts for them

What callers saw, with both fronts on one core: after new settings at SIGHUP, requests over AJP ran by the classes of the start. A class made keyed ran once for each try over AJP, and again for a key that had run over RPC; a dropped class was served until the next start.

Each front end had a map of its own from names to indexes, and the reload renewed the one of the RPC front end.

Evidence: in a scenario the second try of one key over AJP reached a worker, in another a try over AJP did not join the run of the platform's try (keys.joined stayed 0).

Change: the core owns one map, CurrentClasses, which both front ends read; a reload replaces it in its step on the event loop. The 5 s in which a dropped class is still accepted count for both. A tenant's route to a class that is gone is answered 503.

--- a/reelusher/core/context.py
+++ b/reelusher/core/context.py
@@ -6,6 +6,7 @@
 from reelusher.core.attempts import Attempt, Attempts
 from reelusher.core.clock import Clock
 from reelusher.core.counters import Counters
+from reelusher.core.current_classes import CurrentClasses
 from reelusher.core.messages import Message
 from reelusher.core.notices import CallerNotices
 from reelusher.core.request_stats import RequestStats
@@ -32,6 +33,7 @@
         self.settings = settings
         self.gauge_fields = gauge_fields
         self.class_names = class_names
+        self.current_classes = CurrentClasses(class_names, settings.classes)  # any thread may read
         self.clock = clock
         self.counters = counters
         self.post = post
--- a/reelusher/core/event_loop.py
+++ b/reelusher/core/event_loop.py
@@ -91,6 +91,7 @@
         context = CoreContext(settings, gauge_fields, names, self.clock, self.counters, self.post)
         self._context = context
         self.notices, self.stats, self.attempts = context.notices, context.stats, context.attempts
+        self.current_classes = context.current_classes
         self.keys = IdempotencyTable(_max_deadline_us(settings), max_result_bytes)
         answers = Answers(context)
         self.deduplication = Deduplication(context, answers, self.keys)
@@ -155,17 +156,15 @@
         """The time of the current batch in microseconds, by the clock of the node."""
         return self._context.now_us
 
-    def apply_settings(
-        self, settings: Settings, gauge_fields: list[str], class_names: list[str]
-    ) -> dict[str, int]:
-        """Replace the settings and return the index of each class by its name; on the event loop thread.
+    def apply_settings(self, settings: Settings, gauge_fields: list[str], class_names: list[str]) -> None:
+        """Replace the settings; on the event loop thread. Front ends use `current_classes` from then on.
 
         Open requests keep the version of their class. Raises ValueError if there are too many classes.
         """
         index_by_name = self._context.apply_settings(settings, gauge_fields, class_names)
         self.keys.extend_retention(_max_deadline_us(self.settings))
         self._controller.apply_settings(self.settings, index_by_name.values())
-        return index_by_name
+        self.current_classes.replace(index_by_name, self.settings.classes)
 
     def observed_times(self) -> dict[str, tuple[float, float]]:
         """Return the observed run and call times for the warm start of other nodes; on the event loop thread.
--- a/reelusher/frontends/ajp/frontend.py
+++ b/reelusher/frontends/ajp/frontend.py
@@ -249,9 +249,10 @@
         """Post a request to the core and return the queue for its answer.
 
         Returns None if the tenant has too many requests in flight. Raises `RequestError` if the tenant has
-        too many connections or the request lacks its idempotency key.
+        too many connections, the request lacks its idempotency key, or its class is not in use any more.
         """
-        key, tenant = self._mapper.idempotency_key(forward, match), match.tenant
+        tenant, class_index = match.tenant, self._mapper.class_index(match)
+        key = self._mapper.idempotency_key(forward, match, class_index)
         max_connections = tenant.share.connections
         if not self._connections.begin_request(stream.sock, tenant.name, max_connections):
             raise RequestError(503, f"{tenant.name} has {max_connections} connections", closes=True)
@@ -259,7 +260,7 @@
             return None
         answers: queue.SimpleQueue[Answer] = queue.SimpleQueue()
         try:
-            request = self._mapper.request(forward, match, key, body, received_us, answers.put)
+            request = self._mapper.request(forward, match, class_index, key, body, received_us, answers.put)
             self._core.post(RequestArrived(request))
         except BaseException:
             self._end_request(tenant)
--- a/reelusher/frontends/ajp/request_mapping.py
+++ b/reelusher/frontends/ajp/request_mapping.py
@@ -52,18 +52,23 @@
     def __init__(self, core: Core, config: Ajp) -> None:
         self._core = core
         self._config = config
-        self._class_indexes = {name: index for index, name in enumerate(core.class_names)}
         self._run_numbers = itertools.count(1)
         self._run_prefix = f"ajp{core.clock.now():x}x"
 
     def class_index(self, match: Match) -> int:
-        """Return the class of a request as its index in the settings."""
-        return self._class_indexes[match.class_name]
+        """Return the class of a request as its index in the settings.
 
-    def idempotency_key(self, forward: ajp13.ForwardedRequest, match: Match) -> str:
+        Raises `RequestError` if a reload has removed the class that the tenant's route names.
+        """
+        class_index = self._core.current_classes.index_of(match.class_name)
+        if class_index is None:
+            raise RequestError(503, f"the settings have no class {match.class_name} any more")
+        return class_index
+
+    def idempotency_key(self, forward: ajp13.ForwardedRequest, match: Match, class_index: int) -> str:
         """Return a request's key, or ""; raise `RequestError` if its class needs a valid one."""
         key = forward.header(match.tenant.key_header) or ""
-        idempotency = self._core.settings.classes[self.class_index(match)].idempotency
+        idempotency = self._core.settings.classes[class_index].idempotency
         if idempotency is Idempotency.IDEMPOTENCY_KEY and not 0 < len(key) <= MAX_KEY_CHARS:
             raise RequestError(
                 400, f"requests of {match.class_name} need the header {match.tenant.key_header}"
@@ -74,6 +79,7 @@
         self,
         forward: ajp13.ForwardedRequest,
         match: Match,
+        class_index: int,
         key: str,
         body: bytes,
         received_us: int,
@@ -82,7 +88,7 @@
         """Return the request for the core; `reply` is called with its answer."""
         return IncomingRequest(
             run_id=f"{self._run_prefix}{next(self._run_numbers):x}",
-            class_index=self.class_index(match),
+            class_index=class_index,
             body=body,
             received_us=received_us,
             reply=reply,
--- a/reelusher/frontends/rpc/frontend.py
+++ b/reelusher/frontends/rpc/frontend.py
@@ -97,10 +97,6 @@
         """Start to accept connections."""
         self._poller.start()
 
-    def apply_classes(self, class_indexes: dict[str, int]) -> None:
-        """Accept these classes from now on. The core must have them already; any thread may call this."""
-        self._parser.apply_classes(class_indexes)
-
     def drain(self, schedule: DrainSchedule) -> None:
         """Drain by this schedule; another call may replace it by an earlier one."""
         self._shutdown.follow(schedule)
@@ -319,7 +315,7 @@
         """Reject a request without passing it to the core."""
         core = self._core
         core.counters.add("drain.refused_at_the_door" if self._rejects_all else "platform.refused")
-        if self._parser.is_current_class(method):
+        if method in self._core.current_classes:
             core.stats.request_read()
             core.stats.request_answered(method, Verdict.REJECTED)
         reply = early_rejection(core.notices.advertised_capacity, core.settings.max_retry_after_us)
@@ -447,7 +443,7 @@
 
         An idle one is sent the notice `lastCall` before it is closed; none is idle while requests are open.
         """
-        if connection.send_buffer.stalled_for(now) * 1e6 > self._parser.longest_deadline_us:
+        if connection.send_buffer.stalled_for(now) * 1e6 > self._core.current_classes.longest_deadline_us:
             self._core.counters.add("platform.closed_stalled")  # no caller waits any longer for its backlog
             connection.send_buffer.close()
         if not connection.ended:
--- a/reelusher/frontends/rpc/requests.py
+++ b/reelusher/frontends/rpc/requests.py
@@ -1,6 +1,5 @@
 """Translates messages of the platform's callers to requests for the core, and its answers to replies."""
 
-import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -21,7 +20,6 @@
 
 MAX_BODY_BYTES = 2048
 MAX_OPEN_REQUESTS = 32 + 8  # per connection: the protocol's 32, and some whose answers cross new requests
-REMOVED_CLASS_GRACE_S = 5.0  # a removed class is still accepted for this long, since callers learn of it late
 EARLY_RETRY_AFTER_MS = 100  # for requests that the front end itself rejects: the shortest time of the policy
 
 
@@ -32,37 +30,12 @@
     result: list[Any] | None
 
 
-class RemovedClass(NamedTuple):
-    """A class that a reload has removed, and until when its requests are still accepted."""
-
-    class_index: int
-    accepted_until_s: float
-
-
 class RequestParser:
     """Checks and translates requests by the classes and settings in use."""
 
     def __init__(self, core: Core, tenant: str) -> None:
         self._core = core
         self._tenant = tenant
-        self._class_indexes = {name: index for index, name in enumerate(core.class_names)}
-        self._removed: dict[str, RemovedClass] = {}
-        self.longest_deadline_us = self._longest_deadline_us()
-
-    def apply_classes(self, class_indexes: dict[str, int]) -> None:
-        """Accept these classes from now on. The core must have them already; any thread may call this."""
-        now_s = time.monotonic()
-        removed = {name: entry for name, entry in self._removed.items() if entry.accepted_until_s > now_s}
-        for name, index in self._class_indexes.items():
-            if name not in class_indexes:
-                removed[name] = RemovedClass(index, now_s + REMOVED_CLASS_GRACE_S)
-        self._removed = removed
-        self.longest_deadline_us = self._longest_deadline_us()
-        self._class_indexes = class_indexes
-
-    def is_current_class(self, name: str) -> bool:
-        """Return whether a class is in use; a removed one is not."""
-        return name in self._class_indexes
 
     def parse(
         self, method: str, params: list[Any], open_requests: int, reply: Callable[[Answer], None]
@@ -71,7 +44,9 @@
 
         `open_requests` is the number of requests open on its connection; `reply` is called with the answer.
         """
-        class_index = self._class_index(method)
+        class_index = self._core.current_classes.index_of(method)
+        if class_index is None:
+            raise BadRequestError("no such class")
         match params:
             case [dict(fields), bytes(body)]:
                 pass
@@ -87,7 +62,7 @@
             fields,
             idempotency is Idempotency.IDEMPOTENCY_KEY,
             self._core.clock.now() + unix_ahead_us,
-            self.longest_deadline_us,
+            self._core.current_classes.longest_deadline_us,
         )
         return IncomingRequest(
             run_id=checked.run_id,
@@ -103,18 +78,6 @@
             idempotency_key=checked.idempotency_key,
         )
 
-    def _class_index(self, name: str) -> int:
-        index = self._class_indexes.get(name)
-        if index is not None:
-            return index
-        removed = self._removed.get(name)
-        if removed is None or time.monotonic() >= removed.accepted_until_s:
-            raise BadRequestError("no such class")
-        return removed.class_index
-
-    def _longest_deadline_us(self) -> int:
-        return max(request_class.deadline_us for request_class in self._core.settings.classes)
-
 
 def reply_of(answer: Answer) -> Reply:
     """Return the reply that carries the core's answer."""
--- a/reelusher/reload.py
+++ b/reelusher/reload.py
@@ -9,7 +9,6 @@
 from reelusher.assembly.parts import NodeParts
 from reelusher.config import Config, ConfigError
 from reelusher.config.platform_config import Platform
-from reelusher.frontends.rpc.frontend import RpcFrontend
 
 MAX_PENDING_RELOADS = 2  # one in progress, and one that reads the newest file after it
 ADDRESSES = ("runtime", "vault", "directory")  # fields of `Platform`
@@ -98,14 +97,12 @@
         self._applied_fields += fields
 
     def _apply_settings(self, platform: Platform) -> None:
-        core, frontend = self._parts.core, self._parts.frontends["platform"]
-        assert isinstance(frontend, RpcFrontend)
+        core = self._parts.core
 
         def apply() -> None:
-            class_indexes = core.apply_settings(platform.settings, platform.gauges, platform.class_names)
-            frontend.apply_classes(class_indexes)
+            core.apply_settings(platform.settings, platform.gauges, platform.class_names)
 
-        try:  # in one step of the event loop, so that core and front end never use different settings
+        try:  # in one step of the event loop, so that core and front ends never use different settings
             core.run_on_loop(apply)
         except ValueError as error:
             raise ReloadError(str(error)) from error
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -148,15 +148,17 @@
 
 
 def changed_settings(changes: dict[str, str]) -> dict[str, Any]:
-    """Return a copy of SETTINGS with the classes changed as `add=`, `drop=` and `deadline=CLASS:US` say.
+    """Return a copy of SETTINGS with other classes.
 
-    These three keys are removed from `changes`.
+    `add=CLASS`, `drop=CLASS`, `deadline=CLASS:US` and `keyed=CLASS` say which; these keys are removed from
+    `changes`.
     """
     settings = copy.deepcopy(SETTINGS)
-    dropped, added, (name, _, deadline) = (
+    dropped, added, (name, _, deadline), keyed = (
         changes.pop("drop", ""),
         changes.pop("add", ""),
         changes.pop("deadline", "").partition(":"),
+        changes.pop("keyed", ""),
     )
     settings["categories"] = [
         request_class for request_class in settings["categories"] if request_class["name"] != dropped
@@ -166,6 +168,8 @@
     for request_class in settings["categories"]:
         if request_class["name"] == name:
             request_class["deadline_us"] = int(deadline) if deadline.lstrip("-").isdigit() else deadline
+        if request_class["name"] == keyed:
+            request_class |= {"effect": "token", "repeat_window_us": 20_000_000}
     return settings
 
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -3,6 +3,8 @@
 import pytest
 import scenario
 
+from reelusher.core import current_classes
+
 SCENARIOS = {
     # The platform's protocol
     "a request is run and its result returned unchanged": """
@@ -821,6 +823,36 @@
         c1 send 1 book-visit key=K body=x
         c1 expect 1 ok slot-9
         runtime expect nothing""",
+    # Web servers' requests kept the classes of the start: tries of a class made keyed by SIGHUP ran twice.
+    "retry: two attempts over AJP share one run of a class that SIGHUP has made keyed": """
+        node send reload 1 keyed=day-view
+        node expect count reload.done 1
+        a1 send GET /days host=clinic key=K
+        w1 expect GET /days
+        a2 send GET /days host=clinic key=K
+        w2 expect nothing
+        w1 send 200 r
+        a1 expect 200 r
+        a2 expect 200 r
+        node expect count runs.started 1""",
+    "retry: after a SIGHUP an attempt over AJP joins the run of the platform's attempt": """
+        node send reload 1 keyed=day-view
+        node expect count reload.done 1
+        c1 send 1 day-view key=K body=x
+        runtime expect start * day-view x as X
+        a1 send GET /days key=K body=x
+        node expect count keys.joined 1
+        runtime send end $X ok slot-9
+        c1 expect 1 ok slot-9
+        a1 expect 200 slot-9
+        node expect count runs.started 1""",
+    "a web server's request of a class that SIGHUP has just dropped is still served": """
+        node send reload 1 drop=day-view
+        node expect count reload.done 1
+        a1 send GET /days host=clinic
+        w1 expect GET /days
+        w1 send 200 r
+        a1 expect 200 r""",
     "the same key of two tenants is two requests": """
         a1 send POST /visits host=clinic key=K body=x
         w1 expect POST /visits x
@@ -1199,6 +1231,22 @@
 }
 
 
+def test_web_servers_get_503_for_a_class_that_was_dropped_a_while_ago(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against requests of a dropped class that web servers could send until the next start."""
+    monkeypatch.setattr(current_classes, "REMOVED_CLASS_GRACE_S", 0.0)
+    scenario.play("""
+        node send reload 1 drop=day-view
+        node expect count reload.done 1
+        a1 send GET /days host=clinic
+        a1 expect 503
+        a1 send POST /visits host=clinic key=K body=x
+        w1 expect POST /visits x
+        w1 send 200 r
+        a1 expect 200 r""")
+
+
 @pytest.mark.parametrize("name", SCENARIOS)
 def test_scenario(name: str) -> None:
     scenario.play(SCENARIOS[name])
