Keep the weights of classes in a tenant's share when SIGHUP changes a class

What callers saw: after new settings at SIGHUP a tenant's requests of a changed class no longer got the part of the tenant's share that share.classes gives them.

The registry turned the names of the weights to indexes of the start once; a changed class has a new index, for which the quota had no weight.

Change: the core tells in its step that its classes have changed, and the registry sets all quotas anew; a weight counts for each version of its class. What a tenant has used stays booked.

--- a/reelusher/core/event_loop.py
+++ b/reelusher/core/event_loop.py
@@ -101,6 +101,7 @@
         )
         self._ticks = GaugeTicks(context, runner)
         self.on_health_changed: Callable[[], None] = lambda: None  # called on any thread; must not block
+        self.on_classes_changed: Callable[[], None] = lambda: None  # called on the event loop thread
         self._seed = seed
         self._controller = Controller(settings, seed, scheduler)
         self._queue: queue.SimpleQueue[Message | None] = queue.SimpleQueue()  # None ends the thread
@@ -164,6 +165,7 @@
         index_by_name = self._context.apply_settings(settings, gauge_fields, class_names)
         self.keys.extend_retention(_max_deadline_us(self.settings))
         self._controller.apply_settings(self.settings, index_by_name.values())
+        self.on_classes_changed()
         self.current_classes.replace(index_by_name, self.settings.classes)
 
     def observed_times(self) -> dict[str, tuple[float, float]]:
--- a/reelusher/tenancy/registry.py
+++ b/reelusher/tenancy/registry.py
@@ -66,6 +66,7 @@
         self._index = TenantIndex()
         self._drain_check_scheduled = False
         core.requests.admits_tenant = self.lifecycle.admits
+        core.on_classes_changed = self._apply_quotas
         for tenant, state in tenants:
             self.put(tenant, state)
 
@@ -198,8 +199,14 @@
         else:
             self._core.requests.runners[tenant.name] = runner
 
+    def _apply_quotas(self) -> None:
+        """Set all quotas anew, since a reload has given new indexes to classes that have weights in them."""
+        for record in self.lifecycle.records():
+            self._fair_queue.set_quota(record.number, self._quota(record.tenant))
+
     def _quota(self, tenant: Tenant) -> Quota:
         share = tenant.share
+        weights = dict(share.classes)
         return Quota(
             weight=share.weight,
             guarantee=share.guarantee,
@@ -209,7 +216,9 @@
             running=share.running,
             memory_kb=share.memory_kb,
             keys=share.keys,
-            class_weights={self._class_names.index(name): weight for name, weight in share.classes},
+            class_weights={
+                index: weights[name] for index, name in enumerate(self._core.class_names) if name in weights
+            },
         )
 
     def _remove_drained(self, numbers: list[int] | None = None) -> None:
