Don't take the rows of a refill after a take-over for damage of the file

What callers saw: a control member that came back after a take-over and was killed in its refill put its sound file aside as damaged. The changes that it had set aside as divergent, acknowledged with 201, were listed no more; all rows were pulled again and its partitions counted as lost.

Cause: such a refill starts from position 0 and keeps the rows of the shared history with their indexes meanwhile. The check at each start allowed indexes up to the position and the refill's cursor only.

The new test restarts a member after each pull of such a refill: damage at the first restart before.

Change: the state says which index a row can have: in a refill also up to the base of its term, which no shared history exceeds. A row past that is damage as before, held by a second test.

--- a/reelusher/fleet/replication/replica_store.py
+++ b/reelusher/fleet/replication/replica_store.py
@@ -37,6 +37,18 @@
         """Return the index past which entries are requested."""
         return self.index if self.cursor < 0 else self.cursor
 
+    @property
+    def max_row_index(self) -> int:
+        """Return the highest index that a row can have.
+
+        A refill after a take-over begins at position 0, but keeps the rows of the history that both terms
+        share, which ends at the base of the new term at the latest.
+        """
+        if self.cursor < 0:
+            return self.index
+        base = self.bases[-1][1] if self.bases else 0
+        return max(self.index, self.cursor, base)
+
 
 @dataclass(slots=True, frozen=True)
 class SegmentBatch:
--- a/reelusher/fleet/replication/sqlite_replica/integrity.py
+++ b/reelusher/fleet/replication/sqlite_replica/integrity.py
@@ -13,12 +13,12 @@
 
 
 def verify_positions(conn: sqlite3.Connection, path: Path, partitions: PartitionTable) -> None:
-    """Raise `DamagedReplicaError` if a row's index is past both the position and the refill's cursor."""
+    """Raise `DamagedReplicaError` if a row has an index that the state of its partition rules out."""
     for partition, state in partitions.read_all(conn).items():
         last_index = conn.execute(
             "SELECT max(number) FROM rows WHERE stream = ?", (partitions.ids[partition],)
         ).fetchone()[0]
-        if (last_index or 0) > max(state.index, state.cursor):
+        if (last_index or 0) > state.max_row_index:
             reason = f"a row of {partition} has the index {last_index}, past its position"
             raise DamagedReplicaError(path, reason)
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -744,6 +744,28 @@
     assert len(live_rows(fleet, "n1")) == 4
 
 
+def test_restarts_in_a_refill_after_a_take_over_keep_all_rows(
+    folder: Path | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a sound file that was taken for damaged at a start: its divergent rows were gone."""
+    fleet = Replicas(0, folder)
+    for name in C1[:4]:
+        fleet.change(name)
+    fleet.pull("c2", "c1")
+    fleet.change(C1[4])
+    fleet.replicas["c2"].begin_term("c1", "c2")
+    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
+    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    pulls = 0
+    while fleet.pull("c1", "c2") is not None:
+        pulls += 1
+        fleet.restart("c1")
+        assert fleet.divergent_rows("c1") == [(C1[4], 5)]
+        assert set(live_rows(fleet, "c1")) >= set(C1[:4])
+    assert pulls >= 4
+    assert live_rows(fleet, "c1") == live_rows(fleet, "c2")
+
+
 def test_incomplete_replica_takes_over_only_if_forced(
     folder: Path | None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_sqlite_replica.py
+++ b/tests/test_sqlite_replica.py
@@ -567,6 +567,21 @@
     store.close()
 
 
+@pytest.mark.parametrize(
+    ("cursor", "base", "is_damaged"), [(10, 5, False), (0, 10, False), (9, 9, True), (0, 9, True)]
+)
+def test_row_past_the_bounds_of_a_refill_is_damage(
+    path: Path, cursor: int, base: int, is_damaged: bool
+) -> None:
+    """In a refill a row may be past position 0, up to the cursor or to the base of the term."""
+    store = filled_store(path, 10)
+    store.apply("c1", [], PartitionState(16, bases=((16, base),), cursor=cursor, generation=1))
+    store.close()
+    store = SqliteReplica(path, "f", CONTROL)
+    assert bool(store.damage_at_open) is is_damaged
+    store.close()
+
+
 def test_only_the_newest_quarantined_files_stay(path: Path) -> None:
     now = iter(range(1000, 100_000))
     store = SqliteReplica(path, "f", CONTROL, wall_ms=lambda: next(now))
