Set aside rows of a dropped history that a refill has brought

What callers saw, after two take-overs in short order: a member that was in its refill when the second one reached it served tenants as they had been in the dropped history, or answered 404 for them, for good.

The entry into a term compared the position with the shared history; in a refill that stands at 0 while rows arrive up to the cursor. Rows past the shared history kept their indexes, so entries of the new history with lower indexes did not replace them, and the end of the refill deleted them.

Change: the entry into a term goes by the bound of the rows, not by the position, and sets aside what lies past the shared history. Tests of convergence compare term and JSON of rows, not index and state alone.

--- a/reelusher/fleet/replication/replica.py
+++ b/reelusher/fleet/replication/replica.py
@@ -233,16 +233,17 @@
         """Enter a later term; set aside the rows that are not part of its history."""
         shared = shared_through_index(state.bases, segment.bases)
         entered = replace(state, term=segment.term, bases=segment.bases)
-        if state.goal <= shared and state.index <= shared:
+        if max(state.goal, state.max_row_index) <= shared:
             return entered
         index = 0 if state.index > shared else state.index
         entered = replace(
             entered, index=index, goal=index, covered=0, horizon=0, cursor=0, generation=state.generation + 1
         )
         partition = segment.partition
-        if state.index > shared:
+        if state.max_row_index > shared:
             count = self.store.set_aside_divergent(partition, int(shared), entered)
-            result.divergent[partition] = result.divergent.get(partition, 0) + count
+            if count:
+                result.divergent[partition] = result.divergent.get(partition, 0) + count
         result.refills.append(partition)
         result.segments += 1  # entering the term is progress, even if no entry can be applied
         self.store.apply(partition, [], entered)
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -85,6 +85,16 @@
             return {key: (found.index, found.state) for key, found in store.live_entries().items()}
         return {row.name: (row.index, row.state) for row in store.page("", 10_000)}
 
+    def contents(self, name: str) -> dict[str, tuple[int, int, str, bytes]]:
+        """Return term, index, state and JSON of each tenant that a member has."""
+        store = self.stores[name]
+        if isinstance(store, MemoryReplicaStore):
+            entries = store.live_entries()
+            return {
+                key: (found.term, found.index, found.state, found.tenant) for key, found in entries.items()
+            }
+        return {row.name: (row.term, row.index, row.state, row.tenant) for row in store.page("", 10_000)}
+
     def divergent_rows(self, name: str) -> list[tuple[str, int]]:
         """Return name and index of the divergent rows of a member."""
         store = self.stores[name]
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -59,7 +59,7 @@
 
 def replicas_equal(fleet: Replicas) -> bool:
     return (
-        all(live_rows(fleet, name) == live_rows(fleet, "c1") for name in fleet.replicas)
+        all(fleet.contents(name) == fleet.contents("c1") for name in fleet.replicas)
         and len({tuple(replica.announce()) for replica in fleet.replicas.values()}) == 1
     )
 
@@ -766,6 +766,35 @@
     assert live_rows(fleet, "c1") == live_rows(fleet, "c2")
 
 
+@pytest.mark.parametrize("refilled_through", range(6))
+def test_rows_of_a_refill_that_a_later_take_over_drops_are_set_aside(
+    folder: Path | None, monkeypatch: pytest.MonkeyPatch, refilled_through: int
+) -> None:
+    """Guard against replicas that differ for good: rows of the dropped history hid new ones."""
+    fleet = Replicas(1, folder)
+    for name in C1[:2]:
+        fleet.change(name)
+    fleet.settle()
+    fleet.change(C1[6])
+    fleet.pull("n1", "c1")  # this change diverges, so n1 is refilled
+    fleet.replicas["c2"].begin_term("c1", "c2")
+    fleet.change(C1[2], by="c2")
+    fleet.settle("c1", "c2")
+    for name in C1[3:6]:
+        fleet.change(name, by="c2")
+    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
+    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    for _ in range(refilled_through):
+        fleet.pull("n1", "c2")
+    fleet.replicas["c1"].begin_term("c1", "c1")  # without the changes 4 to 6 of c2
+    fleet.change(C1[4], pad="new")
+    fleet.change(C1[3], pad="new")
+    fleet.settle("n1", "c1")
+    assert fleet.contents("n1") == fleet.contents("c1")
+    fleet.settle()
+    assert replicas_equal(fleet)
+
+
 def test_incomplete_replica_takes_over_only_if_forced(
     folder: Path | None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
