Withhold what a lone leader accepts until others were heard, as its file may be older

What callers saw: the file of a leader was put back from a backup and the leader started while the other member was away. Its next change got the index of one that the other member had. Once both were up, each served one tenant and answered 404 for the other's, for good; both changes had been answered 201.

Cause: positions are compared by term and index. A leader may write after 5 s alone and numbered on in the same term, from the end of a file that may be older than its own changes. Nothing tells two entries of one position apart, so nobody pulled.

Change: changes that are accepted before enough others were heard are durable and served here, but neither announced nor sent, over restarts too (column doubt, higher bits). A take-over puts its base at the last announced change; ?copies=N counts no copies of a withheld change.

--- a/reelusher/fleet/replication/leadership.py
+++ b/reelusher/fleet/replication/leadership.py
@@ -7,10 +7,14 @@
 - After a start, no change is accepted until some other members were observed (`REQUIRED_OBSERVED`, or all if
   there are fewer), so that members with later changes can announce them. Without any other member the wait is
   `ALONE_SETTLE_S`; with members that announce nothing it is `SETTLE_S`.
+- Changes that are accepted before enough members were observed are withheld: neither announced nor sent. If a
+  member then announces entries past the last one announced here, they are of this leader's earlier life, and
+  the withheld changes are set aside as divergent rows. Otherwise these are announced once enough members were
+  observed and nothing later was announced for `QUIET_S`. So no two entries of one position ever meet.
 - Other members are ahead in a term that this member leads: its file is older than its own changes, because it
   was restored from a backup or created on another machine. The member accepts no change and pulls its own
   changes back. Once it has everything that any member announced, and nothing new was announced for
-  `RESTORE_QUIET_S`, it begins a new term by itself. It can't know which further indexes it assigned in the
+  `QUIET_S`, it begins a new term by itself. It can't know which further indexes it assigned in the
   old term, so it assigns none of that term again.
 - The file was damaged and replaced (`PartitionState.lost`): the same holds, but an operator has to order the
   new term by `POST /v1/fleet/take-over/STREAM` at this member.
@@ -19,8 +23,9 @@
 Limits: acknowledged changes that no live member has are lost if the leader's file is lost. If an absent
 member has them, it sets them aside as divergent rows when it returns. Callers that can't accept this use
 `?copies=N`. A member that is cut off from all others at its start behaves as if it were alone: if its file is
-also older, the changes that it accepts end as divergent rows. So do changes that are accepted when the first
-`REQUIRED_OBSERVED` members all lag and no member with later changes was observed yet.
+also older, the changes that it accepts end as divergent rows. Changes that are accepted when the first
+`REQUIRED_OBSERVED` members all lag, and no member with later changes was observed yet, can get indexes that
+absent members have already.
 """
 
 import threading
@@ -37,7 +42,7 @@
 REQUIRED_OBSERVED = 3  # number of other members that must be observed before a change is accepted
 ALONE_SETTLE_S = 5.0  # wait after a start without other members
 SETTLE_S = 15.0  # wait after a start with members that announce nothing
-RESTORE_QUIET_S = 5.0  # time without news of later changes before a new term begins
+QUIET_S = 5.0  # time without news of later changes before a new term begins or withheld changes are announced
 
 
 class Leadership:
@@ -57,11 +62,13 @@
         """
         self.replica, self._counters, self._clock, self._on_accepted = replica, counters, clock, on_accepted
         self._settled = alone
+        # enough other members were observed since the start to know whether they have later changes
+        self._confirmed = alone
         self._started_s = clock()
         self._lock = threading.Lock()
         self._observed: set[str] = set()  # addresses of members
         self._name_is_shared = False
-        # by restored partition: when it last lacked changes or could not be written
+        # by partition that waits for a quiet time: when it last lacked changes or could not be written
         self._quiet_since_s: dict[str, float] = {}
         replica.write_guard = self.write_refusal
 
@@ -83,7 +90,12 @@
 
     def accept(self, partition: str, change: LogEntry) -> LogEntry:
         """Assign an index to a change and make it durable. Raises `NotLeaderError` and `ReplicaError`."""
-        entry = self.replica.accept(partition, self.replica.own_name, change)
+        withhold = not self._confirmed
+        if withhold and self.replica.states[partition].withheld_from < 0:
+            logger.warning(
+                "replication: changes of partition {} are withheld until other members were heard", partition
+            )
+        entry = self.replica.accept(partition, self.replica.own_name, change, withhold)
         self._counters.add("replication.accepted")
         self._on_accepted(partition, Position(entry.term, entry.index), self._clock())
         return entry
@@ -101,7 +113,7 @@
 
     def observe(self, address: str) -> None:
         """Record that a member announced its version vector; called for each vector that is accepted."""
-        if self._settled or address in self._observed:
+        if self._confirmed or address in self._observed:
             return
         with self._lock:
             if len(self._observed) < REQUIRED_OBSERVED:
@@ -114,31 +126,55 @@
         """
         now = self._clock()
         self._name_is_shared = name_is_shared
+        uptime_s = now - self._started_s
+        if not self._confirmed:
+            self._confirmed = self._is_confirmed(other_count, uptime_s)
         if not self._settled:
-            self._settled = self._is_settled(other_count, now - self._started_s)
+            self._settled = self._is_settled(other_count, uptime_s)
         for partition in self.replica.control:
             if self._awaits_new_term(partition):
-                self._begin_term_when_quiet(partition, now)
+                self._when_quiet(partition, now, self._begin_term)
+            elif self._awaits_publication(partition):
+                self._when_quiet(partition, now, self._publish)
             else:
                 self._quiet_since_s.pop(partition, None)
 
+    def _is_confirmed(self, other_count: int, uptime_s: float) -> bool:
+        if not other_count or not self._observed:
+            return False
+        return uptime_s >= SETTLE_S or len(self._observed) >= min(REQUIRED_OBSERVED, other_count)
+
     def _is_settled(self, other_count: int, uptime_s: float) -> bool:
         if uptime_s >= SETTLE_S:
             return True
         if not other_count:
             return uptime_s >= ALONE_SETTLE_S
-        return len(self._observed) >= min(REQUIRED_OBSERVED, other_count)
+        return self._confirmed
 
     def _awaits_new_term(self, partition: str) -> bool:
         state = self.replica.states[partition]
         return self.leads(partition) and state.restored and not state.lost
 
-    def _begin_term_when_quiet(self, partition: str, now: float) -> None:
+    def _awaits_publication(self, partition: str) -> bool:
+        return self._confirmed and self.replica.states[partition].withheld_from >= 0
+
+    def _when_quiet(self, partition: str, now: float, act: Callable[[str], None]) -> None:
+        """Act once a partition was complete and could be written for `QUIET_S`."""
         state = self.replica.states[partition]
         if self.write_refusal(partition) or state.cursor >= 0 or state.goal > state.index:
             self._quiet_since_s[partition] = now
-        elif now - self._quiet_since_s.setdefault(partition, now) >= RESTORE_QUIET_S:
-            self._begin_term(partition)
+        elif now - self._quiet_since_s.setdefault(partition, now) >= QUIET_S:
+            act(partition)
+
+    def _publish(self, partition: str) -> None:
+        try:
+            self.replica.publish(partition)
+        except ReplicaError as error:
+            logger.warning(
+                "replication: withheld changes of partition {} not announced: {}", partition, error
+            )
+            return
+        logger.info("replication: withheld changes of partition {} are announced now", partition)
 
     def _begin_term(self, partition: str) -> None:
         try:
--- a/reelusher/fleet/replication/positions.py
+++ b/reelusher/fleet/replication/positions.py
@@ -129,7 +129,7 @@
     def replace_all(self, states: dict[str, PartitionState]) -> None:
         """Set the states of all partitions."""
         self.states = states
-        positions = {name: Position(state.term, state.index) for name, state in states.items()}
+        positions = {name: Position(state.term, state.announced_index) for name, state in states.items()}
         self.announced = pack(positions, self.control)
 
     def update(self, partition: str, state: PartitionState) -> None:
--- a/reelusher/fleet/replication/pull_scheduler.py
+++ b/reelusher/fleet/replication/pull_scheduler.py
@@ -118,13 +118,13 @@
                 self._claims[partition] = Claim(position, now)
 
     def claimed(self, partition: str, now: float) -> Position | None:
-        """Return the furthest position announced recently; None if it is not past this replica's."""
+        """Return the furthest position announced recently; None if it is not past the one announced here."""
         with self._lock:
             claim = self._claims.get(partition)
         state = self._positions.states[partition]
         if claim is None or now - claim.announced_s > CLAIM_TTL_S:
             return None
-        return claim.position if claim.position > (state.term, state.index) else None
+        return claim.position if claim.position > (state.term, state.announced_index) else None
 
     def alternatives(self, excluding: str) -> list[str]:
         """Return addresses of some members that are not behind this replica."""
--- a/reelusher/fleet/replication/replica.py
+++ b/reelusher/fleet/replication/replica.py
@@ -185,7 +185,8 @@
     def _apply_segment(self, segment: LogSegment, result: PullResult) -> None:
         partition = segment.partition
         with self._write_lock:
-            state = self._mark_restored_if_behind(self.states[partition], segment)
+            state = self._set_aside_contradicted(self.states[partition], segment, result)
+            state = self._mark_restored_if_behind(state, segment)
             if segment.term > state.term:
                 state = self._enter_term(segment, state, result)
             started = self._start_segment(state, segment, result)
@@ -206,6 +207,40 @@
         result.segments += 1
         result.entries += len(segment.entries)
 
+    def _set_aside_contradicted(
+        self, state: PartitionState, segment: LogSegment, result: PullResult
+    ) -> PartitionState:
+        """Set aside the withheld entries if another member has entries past those that were announced.
+
+        Nobody can have them from this replica since its start, so they are of its own earlier life or of
+        another leader, and the withheld entries have their indexes. Rows that the withheld ones replaced are
+        pulled again by a refill.
+        """
+        kept_index = state.withheld_from
+        if kept_index < 0 or (segment.term, segment.through_index) <= (state.term, kept_index):
+            return state
+        state = replace(
+            state,
+            index=kept_index,
+            goal=kept_index,
+            covered=min(state.covered, kept_index),
+            horizon=min(state.horizon, kept_index),
+            generation=state.generation + 1,
+            cursor=0,
+            withheld_from=-1,
+        )
+        self._set_aside(segment.partition, kept_index, state, result)
+        result.refills.append(segment.partition)
+        result.segments += 1  # this is progress, even if no entry of the segment can be applied
+        self.positions.update(segment.partition, state)
+        return state
+
+    def _set_aside(self, partition: str, past_index: int, state: PartitionState, result: PullResult) -> None:
+        """Set aside the rows past an index as divergent, and store the state."""
+        count = self.store.set_aside_divergent(partition, past_index, state)
+        if count:
+            result.divergent[partition] = result.divergent.get(partition, 0) + count
+
     def _mark_restored_if_behind(self, state: PartitionState, segment: LogSegment) -> PartitionState:
         """Mark a partition as restored from a backup if others have changes of this leader that it lacks."""
         lacks = (state.term, state.index) < (segment.term, segment.through_index)
@@ -241,9 +276,7 @@
         )
         partition = segment.partition
         if state.max_row_index > shared:
-            count = self.store.set_aside_divergent(partition, int(shared), entered)
-            if count:
-                result.divergent[partition] = result.divergent.get(partition, 0) + count
+            self._set_aside(partition, int(shared), entered, result)
         result.refills.append(partition)
         result.segments += 1  # entering the term is progress, even if no entry can be applied
         self.store.apply(partition, [], entered)
@@ -284,13 +317,13 @@
     ) -> Iterator[LogSegment]:
         """Yield segments of a partition for a member at a position, up to about `max_bytes` of entries."""
         state = self.states[partition]
-        if position >= (state.term, state.index) or state.cursor >= 0:
-            return  # during a refill, rows may be of removed tenants or not part of the term's history
+        if position >= (state.term, state.index) or not _may_send(state):
+            return
         since = _continuation_index(state, position, covered)
         while max_bytes > 0:
             batch = self.store.read_batch(partition, since, min(max_bytes, MAX_SEGMENT_BYTES))
-            if batch is None or batch.state.cursor >= 0:
-                return  # a refill began or the file was replaced meanwhile
+            if batch is None or not _may_send(batch.state):
+                return  # the file was replaced or the state has changed meanwhile
             if (batch.state.term, batch.state.index) < (state.term, state.index):
                 return
             state = batch.state
@@ -307,10 +340,12 @@
         """Return whether the member of this name leads a partition in the latest term known here."""
         return leader_of(self.states[partition].term, self.control) == own_name
 
-    def accept(self, partition: str, own_name: str, change: LogEntry) -> LogEntry:
+    def accept(self, partition: str, own_name: str, change: LogEntry, withhold: bool = False) -> LogEntry:
         """Assign an index to a change made at the leader, and make it durable.
 
-        Raises `NotLeaderError` and `ReplicaError`, and ValueError if other members would reject the change.
+        `withhold`: announce neither it nor what follows until `publish`, since others may have other changes
+        with these indexes. Raises `NotLeaderError` and `ReplicaError`, and ValueError if other members would
+        reject the change.
         """
         self._validate(partition, change)
         with self._write_lock:
@@ -318,7 +353,8 @@
             self._check_writable(partition, own_name, state)
             index = state.index + 1
             entry = msgspec.structs.replace(change, index=index, term=state.term)
-            state = replace(state, index=index, covered=index, goal=index)
+            withheld_from = state.announced_index if withhold else state.withheld_from
+            state = replace(state, index=index, covered=index, goal=index, withheld_from=withheld_from)
             names = self.store.apply(partition, [entry], state, durable=True)
             self.positions.update(partition, state)
         self.store.notify_changed(names)
@@ -365,7 +401,9 @@
             state = replace(
                 state,
                 term=term,
-                bases=(*state.bases, (term, state.index)),
+                # withheld entries are part of the new term: others may have other entries with their indexes
+                bases=(*state.bases, (term, state.announced_index)),
+                withheld_from=-1,
                 cursor=-1,
                 covered=state.index,
                 goal=state.index,
@@ -376,6 +414,13 @@
             self.positions.update(partition, state)
             return Position(term, state.index)
 
+    def publish(self, partition: str) -> None:
+        """Announce the entries of a partition that were withheld until now. Raises `ReplicaError`."""
+        with self._write_lock:
+            state = replace(self.states[partition], withheld_from=-1)
+            self.store.apply(partition, [], state, durable=True)
+            self.positions.update(partition, state)
+
     def _check_may_lead(self, partition: str, state: PartitionState) -> None:
         """Raise `NotLeaderError` if this node may not write, or a new term could lose changes of others."""
         if state.cursor >= 0 or state.goal > state.index:
@@ -400,6 +445,14 @@
         return count
 
 
+def _may_send(state: PartitionState) -> bool:
+    """Return whether the rows of a partition may be sent to other members.
+
+    During a refill, rows may be of removed tenants or not part of the term's history.
+    """
+    return state.cursor < 0 and state.withheld_from < 0
+
+
 def _continuation_index(state: PartitionState, position: Position, covered: int) -> int:
     """Return the index from which a member can continue; 0 if it has to be refilled."""
     since = position.log_index
--- a/reelusher/fleet/replication/replica_store.py
+++ b/reelusher/fleet/replication/replica_store.py
@@ -19,7 +19,10 @@
 
 @dataclass(slots=True, frozen=True)
 class PartitionState:
-    """A replica's state in one partition. `(term, index)` is the position that it announces."""
+    """A replica's state in one partition.
+
+    Its position is `(term, index)`. It announces that position, unless it leads and withholds entries.
+    """
 
     term: int
     index: int = 0
@@ -31,11 +34,17 @@
     cursor: int = -1  # index up to which a refill has come; -1: no refill
     lost: bool = False  # the file replaces a damaged one: it is unknown which indexes were assigned
     restored: bool = False  # the leader's file is older than its changes, for example from a backup
+    withheld_from: int = -1  # the leader announces no entries past this index yet; -1: it announces all
+
+    @property
+    def announced_index(self) -> int:
+        """Return the index of the position that this replica announces."""
+        return self.index if self.withheld_from < 0 else self.withheld_from
 
     @property
     def since(self) -> int:
         """Return the index past which entries are requested."""
-        return self.index if self.cursor < 0 else self.cursor
+        return self.announced_index if self.cursor < 0 else self.cursor
 
     @property
     def max_row_index(self) -> int:
--- a/reelusher/fleet/replication/replication_progress.py
+++ b/reelusher/fleet/replication/replication_progress.py
@@ -90,11 +90,22 @@
     def wait(self, partition: str, position: Position, copies: int, timeout_s: float) -> int:
         """Wait until `copies` other members have a change, or for `timeout_s`; return how many have it."""
         waiter = Waiter(partition, position, copies)
+        state = self._replica.states[partition]
+        if (state.term, state.index) < position:
+            return 0  # it was set aside since it was made
+        generation = state.generation
+
+        def count() -> int:
+            """Return how many have it; none while it is withheld, or once it was set aside in a refill."""
+            state = self._replica.states[partition]
+            is_announced = state.withheld_from < 0 and state.generation == generation
+            return self._count(partition, position) if is_announced else 0
+
         with self._changed:
             self._waiters.append(waiter)
             try:
-                self._changed.wait_for(lambda: self._count(partition, position) >= copies, timeout_s)
-                return self._count(partition, position)
+                self._changed.wait_for(lambda: count() >= copies, timeout_s)
+                return count()
             finally:
                 self._waiters.remove(waiter)
 
--- a/reelusher/fleet/replication/sqlite_replica/partitions.py
+++ b/reelusher/fleet/replication/sqlite_replica/partitions.py
@@ -12,6 +12,7 @@
 from reelusher.fleet.replication.sqlite_replica.errors import DamagedReplicaError
 
 LOST_FLAG, RESTORED_FLAG = 1, 2  # bits of the column `doubt`
+WITHHELD_SHIFT = 8  # its bits from this one on hold `withheld_from` plus 1
 ALL_PARTITIONS = -1  # selects all partitions where an id is expected
 
 
@@ -56,7 +57,9 @@
                 state.goal,
                 state.generation,
                 state.cursor,
-                LOST_FLAG * state.lost | RESTORED_FLAG * state.restored,
+                LOST_FLAG * state.lost
+                | RESTORED_FLAG * state.restored
+                | (state.withheld_from + 1) << WITHHELD_SHIFT,
             ),
         )
 
@@ -74,4 +77,5 @@
         cursor,
         bool(flags & LOST_FLAG),
         bool(flags & RESTORED_FLAG),
+        (flags >> WITHHELD_SHIFT) - 1,
     )
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -1,6 +1,7 @@
 """Replicas converge whatever the order of their pulls, and reject invalid segments and changes."""
 
 import contextlib
+import copy
 import tempfile
 from collections.abc import Iterator
 from heapq import heapify, heappop, heappush
@@ -1022,3 +1023,59 @@
         run_steps(fleet, steps)
         fleet.settle()
         assert replicas_equal(fleet)
+
+
+class PutBackFleet:
+    """Leader c1 and three followers; its file is put back from backups, and it may write at once, alone."""
+
+    def __init__(self) -> None:
+        self.fleet = Replicas(2)
+        self.leader = self.fleet.replicas["c1"]
+        self.backup = copy.deepcopy(self.fleet.stores["c1"])
+        self.is_confirmed = True
+        self.change_count = 0
+
+    def step(self, random: Random) -> None:
+        """Play one random step."""
+        kind = random.choice(("change", "change", "pull", "pull", "pull", "backup", "put back", "confirm"))
+        if kind == "change":
+            self.change_count += 1
+            change = entry(random.choice(C1[:3]), pad=self.change_count)
+            with contextlib.suppress(NotLeaderError):
+                self.leader.accept("c1", "c1", change, withhold=not self.is_confirmed)
+        elif kind == "pull":
+            puller, sender = random.sample(("c1", "n1", "n2"), 2)
+            self.fleet.pull(puller, sender)
+        elif kind == "backup":
+            self.backup = copy.deepcopy(self.fleet.stores["c1"])
+        elif kind == "put back":
+            self.fleet.add("c1", copy.deepcopy(self.backup))
+            self.leader, self.is_confirmed = self.fleet.replicas["c1"], False
+        else:
+            self.confirm()
+
+    def confirm(self) -> None:
+        """Let the leader announce what it withheld or begin a term, if nobody has announced more."""
+        state = self.leader.states["c1"]
+        others = [replica.announce() for name, replica in self.fleet.replicas.items() if name != "c1"]
+        is_behind = any(self.leader.positions.is_ahead(vector) for vector in others)
+        if is_behind or state.cursor >= 0 or state.goal > state.index:
+            return
+        self.is_confirmed = True
+        if state.restored:
+            self.leader.begin_term("c1", "c1")
+        elif state.withheld_from >= 0:
+            self.leader.publish("c1")
+
+
+def test_replicas_converge_after_the_file_of_a_leader_was_put_back() -> None:
+    """Guard against replicas that differ for good at one position: a lone leader gave an index again."""
+    for seed in range(200):
+        node, random = PutBackFleet(), Random(seed)
+        for _ in range(40):
+            node.step(random)
+        for _ in range(2):  # once for the leader to catch up, and once for what it then announces
+            node.fleet.settle()
+            node.confirm()
+        node.fleet.settle()
+        assert replicas_equal(node.fleet), f"seed {seed}"
--- a/tests/test_replication_service.py
+++ b/tests/test_replication_service.py
@@ -20,7 +20,7 @@
 from reelusher.fleet.replication import replica as replica_module
 from reelusher.fleet.replication import replication_progress
 from reelusher.fleet.replication import service as service_module
-from reelusher.fleet.replication.leadership import ALONE_SETTLE_S, RESTORE_QUIET_S, SETTLE_S, Leadership
+from reelusher.fleet.replication.leadership import ALONE_SETTLE_S, QUIET_S, SETTLE_S, Leadership
 from reelusher.fleet.replication.messages import MAX_TENANT_BYTES, EntriesReply, EntriesRequest, LogEntry
 from reelusher.fleet.replication.positions import Position, first_term, leader_of
 from reelusher.fleet.replication.pull_scheduler import CLAIM_TTL_S
@@ -146,7 +146,7 @@
     leadership.tick(1, False)
     with pytest.raises(NotLeaderError, match="older one"):
         leadership.accept("c1", entry(C1[9]))
-    clock.now += RESTORE_QUIET_S + 0.1
+    clock.now += QUIET_S + 0.1
     leadership.tick(1, False)
     accepted = leadership.accept("c1", entry(C1[9]))
     assert (accepted.term, accepted.index) == (16, 6)
@@ -156,6 +156,118 @@
     fleet.close()
 
 
+class PutBackLeader:
+    """Leader c1, whose file is put back from a backup; n1 has a change that is not in the backup."""
+
+    def __init__(self, folder: Path) -> None:
+        self.fleet, self.clock = Replicas(1, folder), Clock()
+        for name in C1[:2]:
+            self.fleet.change(name)
+        self.fleet.settle()
+        self.fleet.close("c1")
+        backup = {path: path.read_bytes() for path in folder.glob("c1-*.db*")}
+        self.fleet.restart("c1")
+        self.fleet.change(C1[2])
+        self.fleet.pull("n1", "c1")
+        self.fleet.close("c1")
+        for path in folder.glob("c1-*.db*"):
+            path.unlink()
+        for path, data in backup.items():
+            path.write_bytes(data)
+        self.restart()
+
+    def restart(self) -> None:
+        self.fleet.restart("c1")
+        self.leadership = leadership_of(self.fleet, self.clock)
+
+    def accept_alone(self) -> None:
+        """Accept two changes while no other member is there; the second replaces a row of the backup."""
+        self.clock.now += ALONE_SETTLE_S
+        self.leadership.tick(0, False)
+        self.leadership.accept("c1", entry(C1[3]))
+        self.leadership.accept("c1", entry(C1[0], pad="late"))
+
+    def meet(self, name: str) -> None:
+        """Let another member announce its position to the leader."""
+        vector = list(self.fleet.replicas[name].announce())
+        self.fleet.replicas["c1"].pulls.observe(name, "", vector, self.clock.now)
+        self.leadership.observe(name)
+        self.leadership.tick(1, False)
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+def test_changes_of_a_lone_leader_with_an_older_file_never_share_a_position_with_others(
+    tmp_path: Path, restarted: bool
+) -> None:
+    """Guard against two replicas that differ for good at one position: neither pulled from the other."""
+    node = PutBackLeader(tmp_path)
+    fleet = node.fleet
+    node.accept_alone()
+    if restarted:
+        node.restart()
+    assert fleet.live_rows("c1")[C1[3]] == (3, "active")
+    assert fleet.pull("n1", "c1") is None
+    node.meet("n1")
+    with pytest.raises(NotLeaderError, match=r"others have stream c1 up to 8.3"):
+        node.leadership.accept("c1", entry(C1[4]))
+    for _ in range(10):
+        if not fleet.pull("c1", "n1"):
+            break
+    assert sorted(fleet.divergent_rows("c1")) == sorted([(C1[3], 3), (C1[0], 4)])
+    node.leadership.tick(1, False)
+    node.clock.now += CLAIM_TTL_S + QUIET_S
+    node.leadership.tick(1, False)
+    assert node.leadership.accept("c1", entry(C1[4])).index == 4
+    fleet.settle()
+    assert fleet.contents("c1") == fleet.contents("n1") == fleet.contents("c2")
+    assert set(fleet.contents("c1")) == {*C1[:3], C1[4]}
+    fleet.close()
+
+
+def test_changes_of_a_lone_leader_are_announced_once_others_were_heard_for_a_while(tmp_path: Path) -> None:
+    node = PutBackLeader(tmp_path)
+    fleet = node.fleet
+    node.accept_alone()
+    fleet.close("n1")
+    for wait_s in (QUIET_S - 0.1, 0.2):
+        node.meet("c2")  # n1, which has more, stays away
+        assert fleet.pull("c2", "c1") is None
+        node.clock.now += wait_s
+    node.meet("c2")
+    assert node.leadership.accept("c1", entry(C1[4])).index == 5
+    fleet.settle("c1", "c2")
+    assert fleet.contents("c2") == fleet.contents("c1")
+    assert fleet.divergent_rows("c1") == []
+    fleet.close()
+
+
+def test_take_over_with_withheld_changes_begins_at_the_last_announced_one(tmp_path: Path) -> None:
+    """Guard against a term whose base has two meanings: one for the leader, one for the other member."""
+    node = PutBackLeader(tmp_path)
+    fleet = node.fleet
+    node.accept_alone()
+    assert node.leadership.take_over("c1") == (16, 4)
+    assert fleet.replicas["c1"].states["c1"].bases == ((16, 2),)
+    fleet.settle()
+    assert fleet.contents("n1") == fleet.contents("c1") == fleet.contents("c2")
+    assert fleet.divergent_rows("n1") == [(C1[2], 3)]
+    fleet.close()
+
+
+def test_withheld_change_has_no_copies_though_others_announce_its_position(tmp_path: Path) -> None:
+    """Guard against a change that was confirmed with a copy: the other member had another change there."""
+    node = PutBackLeader(tmp_path)
+    progress = ReplicationProgress(node.fleet.replicas["c1"], "c1")
+    node.accept_alone()
+    progress.observe("n1", list(node.fleet.replicas["n1"].announce()), node.clock.now)
+    position = Position(first_term("c1", CONTROL), 3)
+    assert progress.wait("c1", position, 1, 0.05) == 0
+    node.meet("n1")
+    node.fleet.pull("c1", "n1")
+    assert progress.wait("c1", position, 1, 0.05) == 0
+    node.fleet.close()
+
+
 def test_changes_that_only_an_absent_member_had_become_divergent_rows(tmp_path: Path) -> None:
     fleet, clock = Replicas(2, tmp_path), Clock()
     fleet.change(C1[0])
@@ -197,13 +309,13 @@
     fleet.pull("c1", "n2")
     leadership.tick(1, False)
     for _ in range(3):
-        clock.now += RESTORE_QUIET_S - 1
+        clock.now += QUIET_S - 1
         fleet.replicas["c1"].pulls.observe("n1", "", list(fleet.replicas["n1"].announce()), clock.now)
         leadership.tick(1, False)
     fleet.pull("c1", "n1")
     assert fleet.replicas["c1"].states["c1"].index == 3
     leadership.tick(1, False)
-    clock.now += RESTORE_QUIET_S - 0.1
+    clock.now += QUIET_S - 0.1
     leadership.tick(1, False)
     with pytest.raises(NotLeaderError, match="older one"):
         leadership.accept("c1", entry(C1[3]))
@@ -500,7 +612,7 @@
     c1.store.database.damage = "by the test"
     assert wait_until(lambda: not c1.store.damage and c1.store.count() == 20, 15)
     with pytest.raises(NotLeaderError, match="damaged"):
-        accept_when_allowed(c1, "c1", entry(C1[30]), RESTORE_QUIET_S + 2)
+        accept_when_allowed(c1, "c1", entry(C1[30]), QUIET_S + 2)
     position = c1.replication.leadership.take_over("c1")
     assert position.term > first_term("c1", CONTROL)
     assert leader_of(position.term, CONTROL) == "c1"
