Give the drain's poll test its sockets' time, however slow the machine

Cause: the drain's own timer is due after 20 ms, and then _run_ready returns after its first descriptor, the wake-up, and leaves the socket to the next round, as it is meant to. So the test was bound to a core of its own for 20 ms.

Change: the test passes min_s, the time that sockets get at the least, as the poller's own round does after slow timers. Its assertions are as they were.

--- a/tests/drain/test_connection_shutdown.py
+++ b/tests/drain/test_connection_shutdown.py
@@ -17,6 +17,7 @@
 from reelusher.net.send_buffer import ByteBudget
 
 CONNECTIONS = 50
+READ_S = 10.0  # time that sockets get, however slow the machine: the drain's own timer is due after 20 ms
 
 
 class ManyConnections:
@@ -108,7 +109,7 @@
     assert poll()
     frontend.peers[7].send(b"request")
     assert not poll()
-    poller._run_ready()
+    poller._run_ready(min_s=READ_S)
     assert poll()
     frontend.open[8].open_requests[1] = "run"
     assert not poll()
