Stop a listener at once, also while connections keep coming

What callers saw: web servers that open a connection for each request were accepted until a draining process ended. Their last requests were reset unanswered, hundreds before them were answered 503, and the drain took its whole time.

Cause: the accepting thread looked whether it had been stopped only when no connection had come for 0.1 s.

Change: once it is told to stop, the thread accepts what waits in the backlog and closes the socket.

--- a/reelusher/net/listener.py
+++ b/reelusher/net/listener.py
@@ -16,6 +16,7 @@
 
 BACKLOG = 512  # connections that the kernel queues until they are accepted
 ACCEPT_TIMEOUT_S = 0.1  # the accepting thread checks this often whether it has been stopped
+MAX_ACCEPTED_AFTER_STOP = 2 * BACKLOG  # the backlog, and those that come while it is accepted
 MAX_STOP_S = 4 * ACCEPT_TIMEOUT_S  # `stop` waits at most this long for the accepting thread
 ACCEPT_PAUSE_S = 0.05  # accepting pauses this long when no descriptor or memory is available
 RESOURCE_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -70,8 +71,9 @@
         """Stop accepting.
 
         The accepting thread first accepts the connections in the backlog, since requests that were sent on
-        them must be read; another thread that calls this waits for its end, for at most `MAX_STOP_S`. Without
-        an accepting thread, the socket is closed at once.
+        them must be read, and then closes the socket, however many others keep coming. Another thread that
+        calls this waits for its end, for at most `MAX_STOP_S`. Without an accepting thread, the socket is
+        closed at once.
         """
         self._open = False
         if self._thread is None:
@@ -122,22 +124,27 @@
             self._slots.release()
 
     def _run(self) -> None:
-        while True:
-            try:
-                accepted = self.accept()
-            except TimeoutError:
-                if not self._open:
-                    break
-                continue
-            except ConnectionResourcesError:
-                time.sleep(ACCEPT_PAUSE_S)
-                continue
-            if accepted is None:
-                continue
-            try:
-                start_thread(f"{self._name}-reader", partial(self._serve_connection, *accepted))
-            except RuntimeError as error:
-                logger.error("{}: cannot start a thread for a connection: {}", self._name, error)
-                accepted[0].close()
-                self._release_slot()
+        while self._open:
+            with contextlib.suppress(TimeoutError):
+                self._accept_and_serve()
+        self.sock.settimeout(0.0)
+        with contextlib.suppress(BlockingIOError):
+            for _ in range(MAX_ACCEPTED_AFTER_STOP):
+                self._accept_and_serve()
         self.sock.close()
+
+    def _accept_and_serve(self) -> None:
+        """Accept a connection and start its thread. Raises BlockingIOError or TimeoutError if none waits."""
+        try:
+            accepted = self.accept()
+        except ConnectionResourcesError:
+            time.sleep(ACCEPT_PAUSE_S)
+            return
+        if accepted is None:
+            return
+        try:
+            start_thread(f"{self._name}-reader", partial(self._serve_connection, *accepted))
+        except RuntimeError as error:
+            logger.error("{}: cannot start a thread for a connection: {}", self._name, error)
+            accepted[0].close()
+            self._release_slot()
