Begin a forced take-over in a refill at the rows that the leader has

What callers saw: an operator forced a take-over by a member that was being refilled. Its position was that of the begin of the refill, often 0, while it had rows with higher indexes: its next start took the file for damaged, indexes were given again, others lacked tenants, and members at the same position stayed in a refill until the next change.

Change: the new term begins at the highest index that a row can have, with the position as its base; rows that were set aside are dropped from service, their copies stay listed. Others are refilled: an entry of a refill replaces a row of an older generation whatever its index, and a refill that begins with a term begins at position 0.

--- a/reelusher/fleet/replication/replica.py
+++ b/reelusher/fleet/replication/replica.py
@@ -265,14 +265,16 @@
         return state
 
     def _enter_term(self, segment: LogSegment, state: PartitionState, result: PullResult) -> PartitionState:
-        """Enter a later term; set aside the rows that are not part of its history."""
+        """Enter a later term; set aside the rows that are not part of its history.
+
+        A refill begins at position 0, so that every member that has rows of the term is ahead of this one.
+        """
         shared = shared_through_index(state.bases, segment.bases)
         entered = replace(state, term=segment.term, bases=segment.bases)
         if max(state.goal, state.max_row_index) <= shared:
             return entered
-        index = 0 if state.index > shared else state.index
         entered = replace(
-            entered, index=index, goal=index, covered=0, horizon=0, cursor=0, generation=state.generation + 1
+            entered, index=0, goal=0, covered=0, horizon=0, cursor=0, generation=state.generation + 1
         )
         partition = segment.partition
         if state.max_row_index > shared:
@@ -397,22 +399,29 @@
                 raise NotLeaderError(
                     f"stream {partition} was taken over {MAX_BASES} times, which is all there are"
                 )
-            term = next_term(state.term, own_name, self.control)
+            names: list[str] = []
+            if not _is_complete(state):
+                state = replace(
+                    state, horizon=state.max_row_index
+                )  # members that go on are refilled from here
+                names = self.store.drop_set_aside(partition)
+            term, index = next_term(state.term, own_name, self.control), state.max_row_index
             state = replace(
                 state,
                 term=term,
-                # withheld entries are part of the new term: others may have other entries with their indexes
-                bases=(*state.bases, (term, state.announced_index)),
+                index=index,
+                bases=(*state.bases, (term, _base_of_new_term(state))),
                 withheld_from=-1,
                 cursor=-1,
-                covered=state.index,
-                goal=state.index,
+                covered=index,
+                goal=index,
                 lost=False,
                 restored=False,
             )
             self.store.apply(partition, [], state, durable=True)
             self.positions.update(partition, state)
-            return Position(term, state.index)
+        self.store.notify_changed(names)
+        return Position(term, index)
 
     def publish(self, partition: str) -> None:
         """Announce the entries of a partition that were withheld until now. Raises `ReplicaError`."""
@@ -445,6 +454,21 @@
         return count
 
 
+def _is_complete(state: PartitionState) -> bool:
+    """Return whether a replica has all entries up to its position."""
+    return state.cursor < 0 and state.goal <= state.index
+
+
+def _base_of_new_term(state: PartitionState) -> int:
+    """Return the last index that a new term shares with the terms before it.
+
+    Withheld entries, and the rows of a refill, are part of the new term: others may have other entries with
+    their indexes.
+    """
+    last_base = state.bases[-1][1] if state.bases else 0
+    return max(state.announced_index, last_base)
+
+
 def _may_send(state: PartitionState) -> bool:
     """Return whether the rows of a partition may be sent to other members.
 
--- a/reelusher/fleet/replication/replica_store.py
+++ b/reelusher/fleet/replication/replica_store.py
@@ -88,9 +88,10 @@
     ) -> list[str]:
         """Write the entries that are newer than the rows of their names, and the state.
 
-        `drop_older`: delete rows of older generations, since a refill is complete. `durable`: sync to disk
-        before returning. `audited`: add the entries to the audit trail, and remember their idempotency keys.
-        Returns the names that changed.
+        An entry of a refill replaces a row of an older generation, whatever its index. `drop_older`: delete
+        rows of older generations, since a refill is complete. `durable`: sync to disk before returning.
+        `audited`: add the entries to the audit trail, and remember their idempotency keys. Returns the names
+        that changed.
         """
 
     def set_aside_divergent(self, partition: str, past_index: int, state: PartitionState) -> int:
@@ -99,6 +100,9 @@
         The originals stay, with the index 0.
         """
 
+    def drop_set_aside(self, partition: str) -> list[str]:
+        """Delete the rows that were set aside as divergent, but not their copies; return their names."""
+
     def collect(self, partition: str, before_ms: int, kept_indexes: int = MIN_KEPT_INDEXES) -> int:
         """Delete tombstones that were stored before a Unix time, and advance the horizon; return how many.
 
@@ -115,6 +119,10 @@
     generation: int
     stored_ms: int
 
+    def equals(self, entry: LogEntry) -> bool:
+        """Return whether this row is the entry."""
+        return (self.entry.term, self.entry.index) == (entry.term, entry.index)
+
 
 @dataclass(slots=True)
 class _PartitionRows:
@@ -183,11 +191,15 @@
         names, now_ms = [], self._wall_ms()
         for entry in entries:
             previous = self._rows.get(entry.name)
-            if previous is None or entry.index > previous.entry.index:
+            if previous is not None and previous.equals(entry):
+                previous.generation = state.generation
+            elif (
+                previous is None
+                or entry.index > previous.entry.index
+                or previous.generation < state.generation
+            ):
                 self._replace(rows, previous, _Row(entry, state.generation, now_ms))
                 names.append(entry.name)
-            elif entry.index == previous.entry.index:
-                previous.generation = state.generation
         if drop_older:
             names += self._drop_older(rows, state.generation)
         rows.state = state
@@ -228,6 +240,14 @@
         rows.state = state
         return len(names)
 
+    def drop_set_aside(self, partition: str) -> list[str]:
+        """Delete the rows that were set aside and return their names; see `ReplicaStore`."""
+        rows = self._partitions[partition]
+        dropped, rows.divergent_names = list(rows.divergent_names), set()
+        for name in dropped:
+            del self._rows[name]
+        return dropped
+
     def collect(self, partition: str, before_ms: int, kept_indexes: int = MIN_KEPT_INDEXES) -> int:
         """Delete old tombstones and return how many; see `ReplicaStore`."""
         rows = self._partitions.get(partition)
--- a/reelusher/fleet/replication/sqlite_replica/replica.py
+++ b/reelusher/fleet/replication/sqlite_replica/replica.py
@@ -201,6 +201,11 @@
             self._partitions.write(conn, partition, state)
             return count
 
+    def drop_set_aside(self, partition: str) -> list[str]:
+        """Delete the rows that were set aside and return their names; see `ReplicaStore`."""
+        with self._transaction(durable=True) as (_, writer):
+            return writer.drop_set_aside(self._partitions.ids[partition])
+
     def collect(self, partition: str, before_ms: int, kept_indexes: int = MIN_KEPT_INDEXES) -> int:
         """Delete old tombstones and return how many; see `ReplicaStore`."""
         with self._transaction(durable=False) as (conn, writer):
--- a/reelusher/fleet/replication/sqlite_replica/writes.py
+++ b/reelusher/fleet/replication/sqlite_replica/writes.py
@@ -23,6 +23,15 @@
     state: str
     tenant: bytes
     guarantee: int
+    term: int
+    generation: int
+
+    def equals(self, entry: LogEntry) -> bool:
+        """Return whether this row is the entry."""
+        return (self.term, self.log_index) == (entry.term, entry.index)
+
+
+STORED_COLUMNS = "id, number, state, tenant, guarantee, epoch, generation"  # in the order of `StoredRow`
 
 
 class SegmentContext(NamedTuple):
@@ -46,21 +55,22 @@
     def apply(self, entries: Iterable[LogEntry], segment: SegmentContext) -> list[str]:
         """Write the entries that are newer than the stored rows of their names; return those names.
 
-        A row that equals its entry only gets the generation of the segment, so that `drop_older` keeps it.
+        An entry of a refill also replaces a row of an older generation, whatever its index. A row that equals
+        its entry only gets the generation of the segment, so that `drop_older` keeps it.
         """
         names = []
         last_id = stored_last_id = self._last_row_id()
         for entry in entries:
             before = self._find(entry.name)
-            if before is None or entry.index > before.log_index:
+            if before is not None and before.equals(entry):
+                self._conn.execute(
+                    "UPDATE rows SET generation = ? WHERE id = ?", (segment.generation, before.row_id)
+                )
+            elif before is None or entry.index > before.log_index or before.generation < segment.generation:
                 if before is None or (entry.state and not before.state):
                     last_id += 1
                 self._replace(entry, segment, before, last_id)
                 names.append(entry.name)
-            elif entry.index == before.log_index:
-                self._conn.execute(
-                    "UPDATE rows SET generation = ? WHERE id = ?", (segment.generation, before.row_id)
-                )
         if last_id != stored_last_id:
             self._conn.execute("UPDATE meta SET value = ? WHERE key = 'next'", (last_id,))
         return names
@@ -69,9 +79,7 @@
         return int(self._conn.execute("SELECT value FROM meta WHERE key = 'next'").fetchone()[0])
 
     def _find(self, name: str) -> StoredRow | None:
-        columns = self._conn.execute(
-            "SELECT id, number, state, tenant, guarantee FROM rows WHERE name = ?", (name,)
-        ).fetchone()
+        columns = self._conn.execute(f"SELECT {STORED_COLUMNS} FROM rows WHERE name = ?", (name,)).fetchone()
         return None if columns is None else StoredRow._make(columns)
 
     def _replace(
@@ -184,9 +192,15 @@
 
     def drop_older(self, partition_id: int, generation: int) -> list[str]:
         """Delete rows of older generations, which a refill did not renew; return their names."""
+        return self._drop_rows("generation < ?", (partition_id, generation))
+
+    def drop_set_aside(self, partition_id: int) -> list[str]:
+        """Delete the rows that were set aside as divergent, which have index 0; return their names."""
+        return self._drop_rows("number = 0", (partition_id,))
+
+    def _drop_rows(self, condition: str, parameters: tuple[int, ...]) -> list[str]:
         dropped = self._conn.execute(
-            "SELECT name, id, number, state, tenant, guarantee FROM rows WHERE stream = ? AND generation < ?",
-            (partition_id, generation),
+            f"SELECT name, {STORED_COLUMNS} FROM rows WHERE stream = ? AND {condition}", parameters
         ).fetchall()
         for name, *columns in dropped:
             row = StoredRow._make(columns)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -810,6 +810,31 @@
     assert fleet.replicas["c2"].begin_term("c1", "c2", force=True).log_index == 1
 
 
+@pytest.mark.parametrize("refilled_through", range(1, 6))
+def test_take_over_forced_in_a_refill_leaves_equal_replicas_and_a_sound_file(
+    folder: Path | None, monkeypatch: pytest.MonkeyPatch, refilled_through: int
+) -> None:
+    """Guard against a leader whose rows lie past its position: its file was taken for damaged at a start."""
+    fleet = Replicas(1, folder)
+    for name in C1[:4]:
+        fleet.change(name)
+    fleet.settle()
+    fleet.change(C1[1], pad="late")  # diverges, so c1 is refilled
+    fleet.replicas["c2"].begin_term("c1", "c2")
+    fleet.change(C1[4], by="c2")
+    fleet.settle("c2", "n1")
+    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
+    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    for _ in range(refilled_through):
+        fleet.pull("c1", "c2")
+    fleet.replicas["c1"].begin_term("c1", "c1", force=True)
+    fleet.restart("c1")
+    fleet.change(C1[5], by="c1")
+    fleet.settle()
+    assert replicas_equal(fleet)
+    assert C1[5] in live_rows(fleet, "n1")
+
+
 def test_leader_knows_claims_past_its_own_position(folder: Path | None) -> None:
     fleet = Replicas(2, folder)
     fleet.change(C1[0])
