Begin a new term with changes that a lone leader had withheld

What callers saw, with files of a leader put back from a backup: a member that was in the middle of a bootstrap, and waited for an entry that the leader has lost, took another entry with that index for it and lacked a tenant for good.

Cause: a change that was withheld while the leader was alone was announced in the old term, with an index that may have been given before.

Change: what was withheld becomes the begin of a new term, so that members that wait for entries of the old one are refilled. Half of the 256 terms are left for operators.

--- a/reelusher/fleet/replication/leadership.py
+++ b/reelusher/fleet/replication/leadership.py
@@ -9,8 +9,8 @@
   `ALONE_SETTLE_S`; with members that announce nothing it is `SETTLE_S`.
 - Changes that are accepted before enough members were observed are withheld: neither announced nor sent. If a
   member then announces entries past the last one announced here, they are of this leader's earlier life, and
-  the withheld changes are set aside as divergent rows. Otherwise these are announced once enough members were
-  observed and nothing later was announced for `QUIET_S`. So no two entries of one position ever meet.
+  the withheld changes are set aside as divergent rows. Otherwise a new term begins with them, once enough
+  members were observed and nothing later was announced for `QUIET_S`.
 - Other members are ahead in a term that this member leads: its file is older than its own changes, because it
   was restored from a backup or created on another machine. The member accepts no change and pulls its own
   changes back. Once it has everything that any member announced, and nothing new was announced for
@@ -42,7 +42,7 @@
 REQUIRED_OBSERVED = 3  # number of other members that must be observed before a change is accepted
 ALONE_SETTLE_S = 5.0  # wait after a start without other members
 SETTLE_S = 15.0  # wait after a start with members that announce nothing
-QUIET_S = 5.0  # time without news of later changes before a new term begins or withheld changes are announced
+QUIET_S = 5.0  # time without news of later changes before a new term begins
 
 
 class Leadership:
@@ -169,7 +169,7 @@
     def _publish(self, partition: str) -> None:
         try:
             self.replica.publish(partition)
-        except ReplicaError as error:
+        except (NotLeaderError, ReplicaError) as error:
             logger.warning(
                 "replication: withheld changes of partition {} not announced: {}", partition, error
             )
--- a/reelusher/fleet/replication/replica.py
+++ b/reelusher/fleet/replication/replica.py
@@ -61,6 +61,7 @@
 SENT_REPLIES_LIMIT = 50.0, 50.0  # replies sent per second, and in a burst
 BOOTSTRAP_MIN_CHANGES = 100  # an empty partition is bootstrapping if others have more changes than this
 TOMBSTONE_TTL_S = 7 * 86_400.0
+MAX_BASES_BY_PUBLICATION = MAX_BASES // 2  # the other terms are for take-overs that operators order
 
 
 @dataclass(slots=True)
@@ -424,9 +425,18 @@
         return Position(term, index)
 
     def publish(self, partition: str) -> None:
-        """Announce the entries of a partition that were withheld until now. Raises `ReplicaError`."""
+        """Announce the entries of a partition that were withheld until now, as the first ones of a new term.
+
+        A member may wait for entries of the old term that the leader has lost, and must not take these for
+        them. Some terms are left for operators; without one, the old term goes on. Raises `NotLeaderError`
+        and `ReplicaError`.
+        """
         with self._write_lock:
-            state = replace(self.states[partition], withheld_from=-1)
+            state = self.states[partition]
+            if len(state.bases) < MAX_BASES_BY_PUBLICATION:
+                self.begin_term(partition, self.own_name)
+                return
+            state = replace(state, withheld_from=-1)
             self.store.apply(partition, [], state, durable=True)
             self.positions.update(partition, state)
 
