--- a/reelusher/lab/capacity/fleet.py
+++ b/reelusher/lab/capacity/fleet.py
@@ -15,24 +15,18 @@
 from statistics import median
 from typing import Any
 
-from reelusher.lab.capacity.hollow_fleet import (
-    CHANGES_PER_S,
-    LOSS,
-    REGIONS,
-    RESTART_INTERVAL_S,
-    ZONES,
-    Change,
-    Fleet,
+from reelusher.lab.capacity.fleet_figures import (
     Meter,
     Reading,
     Spread,
     count_inconsistent_nodes,
     figures_of,
     leader_rows,
-    region_of,
     spread_figures,
 )
 from reelusher.lab.capacity.parts import ShardedFleet
+from reelusher.lab.capacity.simulated_fleet import CHANGES_PER_S, RESTART_INTERVAL_S, Change, Fleet
+from reelusher.lab.capacity.simulated_network import LOSS, REGIONS, ZONES, region_of
 
 FOLDER = Path(__file__).parents[3] / "docs" / "capacity" / "fleet"
 RACK_NODES = 40
--- a/reelusher/lab/capacity/parts.py
+++ b/reelusher/lab/capacity/parts.py
@@ -14,7 +14,8 @@
 from types import TracebackType
 from typing import Any, Concatenate, ParamSpec, TypeVar
 
-from reelusher.lab.capacity.hollow_fleet import REGION_DELAY_RANGE_S, REGIONS, Fleet
+from reelusher.lab.capacity.simulated_fleet import Fleet
+from reelusher.lab.capacity.simulated_network import REGION_DELAY_RANGE_S, REGIONS
 
 QUANTUM_S = REGION_DELAY_RANGE_S[0]
 CLOSE_S = 5.0  # in which the process of a shard may end by itself
--- a/tests/test_capacity_model.py
+++ b/tests/test_capacity_model.py
@@ -8,16 +8,17 @@
 
 from reelusher.fleet.membership.authentication import MessageAuthenticator
 from reelusher.fleet.membership.messages import Datagram, DatagramKind
-from reelusher.lab.capacity import fleet, hollow_fleet
+from reelusher.lab.capacity import fleet, simulated_fleet
 from reelusher.lab.capacity.fleet import read_spread, to_json
-from reelusher.lab.capacity.hollow_fleet import (
-    Fleet,
+from reelusher.lab.capacity.fleet_figures import (
     Meter,
     count_inconsistent_nodes,
     leader_rows,
     spread_figures,
 )
 from reelusher.lab.capacity.parts import QUANTUM_S, ShardedFleet, ShardFailedError
+from reelusher.lab.capacity.simulated_fleet import Fleet
+from reelusher.lab.capacity.simulated_network import region_of
 
 
 def inconsistency_counts(model: Fleet) -> dict[str, int]:
@@ -51,7 +52,7 @@
 def test_a_cut_off_region_with_changes_on_both_sides_converges_soon_after_it_heals() -> None:
     model = Fleet(70, 5)
     model.run(2.0)
-    region = {node.index for node in model.nodes if hollow_fleet.region_of(node.zone) == 2}
+    region = {node.index for node in model.nodes if region_of(node.zone) == 2}
     model.isolate(region)
     for number in range(60):
         model.clock.call_later(number * 0.15, model.change, number)
@@ -158,7 +159,7 @@
     assert 80 < node.sent_bytes / node.sent < 400
     message = Datagram(DatagramKind.PING, node.address, 9, "", [node.swim.own], node.replica.announce())
     authenticator = MessageAuthenticator(
-        b"a secret of sixteen", "reelusher", node.address, hollow_fleet.FIRST_INCARNATION_MS
+        b"a secret of sixteen", "reelusher", node.address, simulated_fleet.FIRST_INCARNATION_MS
     )
     authenticator._number = 1 << 20
     counted_bytes = len(model._encoder.encode(message)) + model._envelope
