--- a/reelusher/fleet/replication/replica.py
+++ b/reelusher/fleet/replication/replica.py
@@ -24,18 +24,14 @@
 """
 
 import threading
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
-from math import inf
 from random import Random
 
 import msgspec
 
 from reelusher.fleet.replication.messages import (
     MAX_BASES,
-    MAX_CONTROL_MEMBERS,
-    MAX_REPLY_BYTES,
-    MAX_SEGMENT_BYTES,
     EntriesReply,
     EntriesRequest,
     LogEntry,
@@ -48,17 +44,14 @@
     leader_of,
     next_term,
     partition_of,
-    position_at,
     shared_through_index,
     sorted_control,
 )
 from reelusher.fleet.replication.pull_scheduler import Pull, PullScheduler
-from reelusher.fleet.replication.replica_store import PartitionState, ReplicaError, ReplicaStore, SegmentBatch
+from reelusher.fleet.replication.replica_store import PartitionState, ReplicaError, ReplicaStore
+from reelusher.fleet.replication.segment_sender import SegmentSender
 from reelusher.fleet.replication.segments import advance, find_fault
-from reelusher.pacing.token_bucket import TokenBucket
 
-SENT_BYTES_LIMIT = 20 * MAX_SEGMENT_BYTES, 40 * MAX_SEGMENT_BYTES  # of entries per second, and in a burst
-SENT_REPLIES_LIMIT = 50.0, 50.0  # replies sent per second, and in a burst
 BOOTSTRAP_MIN_CHANGES = 100  # an empty partition is bootstrapping if others have more changes than this
 TOMBSTONE_TTL_S = 7 * 86_400.0
 MAX_BASES_BY_PUBLICATION = MAX_BASES // 2  # the other terms are for take-overs that operators order
@@ -100,11 +93,9 @@
         self.write_guard: Callable[[str], str] = lambda partition: ""  # why it may not be written, or ""
         self._random = random
         self._write_lock = threading.RLock()  # held during each transaction that writes
-        self._limits_lock = threading.Lock()
-        self._sent_bytes = TokenBucket(*SENT_BYTES_LIMIT, now)
-        self._sent_replies = TokenBucket(*SENT_REPLIES_LIMIT, now)
         self.positions = ReplicaPositions(control)
         self.pulls = PullScheduler(own_address, self.positions, random, zone)
+        self._sender = SegmentSender(store, self.positions, self.pulls, random, now)
         self.reload()
 
     def reload(self, replace_store: Callable[[], object] = lambda: None) -> None:
@@ -286,56 +277,9 @@
         self.positions.update(partition, entered)
         return entered
 
-    # Answering pulls
-
     def answer(self, request: EntriesRequest, now: float) -> EntriesReply:
         """Return the segments that a member lacks, within this one's rate limits. Raises `ReplicaError`."""
-        own = self.positions
-        if request.control_digest != own.digest or len(request.vector) != len(own.announced):
-            return EntriesReply([])
-        if not self._admits_reply(now):
-            return EntriesReply([], self.pulls.alternatives(request.sender))
-        bytes_left = MAX_REPLY_BYTES
-        segments: list[LogSegment] = []
-        order = list(enumerate(self.control))
-        self._random.shuffle(order)  # so that a partition with many entries does not starve the others
-        for ordinal, partition in order:
-            if bytes_left <= 0:
-                break
-            position = position_at(request.vector, ordinal)
-            covered = request.covered[ordinal] if ordinal < len(request.covered) else position.log_index
-            for segment in self._segments(partition, position, covered, bytes_left):
-                bytes_left -= sum(entry.size for entry in segment.entries)
-                segments.append(segment)
-        with self._limits_lock:
-            self._sent_bytes.take(MAX_REPLY_BYTES - bytes_left)
-        return EntriesReply(segments[:MAX_CONTROL_MEMBERS])
-
-    def _admits_reply(self, now: float) -> bool:
-        with self._limits_lock:
-            return self._sent_bytes.available(now) > 0 and self._sent_replies.try_take(now)
-
-    def _segments(
-        self, partition: str, position: Position, covered: int, max_bytes: int
-    ) -> Iterator[LogSegment]:
-        """Yield segments of a partition for a member at a position, up to about `max_bytes` of entries."""
-        state = self.states[partition]
-        if position >= (state.term, state.index) or not _may_send(state):
-            return
-        since = _continuation_index(state, position, covered)
-        while max_bytes > 0:
-            batch = self.store.read_batch(partition, since, min(max_bytes, MAX_SEGMENT_BYTES))
-            if batch is None or not _may_send(batch.state):
-                return  # the file was replaced or the state has changed meanwhile
-            if (batch.state.term, batch.state.index) < (state.term, state.index):
-                return
-            state = batch.state
-            segment = _segment_of(partition, since, batch)
-            yield segment
-            max_bytes -= sum(entry.size for entry in batch.entries)
-            since = segment.through_index
-            if not batch.more:
-                return
+        return self._sender.answer(request, now)
 
     # Writing
 
@@ -477,37 +421,3 @@
     """
     last_base = state.bases[-1][1] if state.bases else 0
     return max(state.announced_index, last_base)
-
-
-def _may_send(state: PartitionState) -> bool:
-    """Return whether the rows of a partition may be sent to other members.
-
-    During a refill, rows may be of removed tenants or not part of the term's history.
-    """
-    return state.cursor < 0 and state.withheld_from < 0
-
-
-def _continuation_index(state: PartitionState, position: Position, covered: int) -> int:
-    """Return the index from which a member can continue; 0 if it has to be refilled."""
-    since = position.log_index
-    later_bases = [base for term, base in state.bases if term > position.term]
-    diverged = since > min(later_bases, default=inf)
-    lacks_tombstones = since > 0 and covered < state.horizon
-    return 0 if diverged or lacks_tombstones else since
-
-
-def _segment_of(partition: str, since: int, batch: SegmentBatch) -> LogSegment:
-    state = batch.state
-    through_index = batch.entries[-1].index if batch.more else max(since, state.index)
-    return LogSegment(
-        partition,
-        state.term,
-        state.bases,
-        since,
-        through_index,
-        batch.entries,
-        batch.more,
-        state.horizon,
-        max(through_index, state.covered),
-        max(through_index, state.goal),
-    )
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -16,7 +16,7 @@
 from hypothesis import strategies as st
 from replicas import CONTROL, Replicas, entry, names_of
 
-from reelusher.fleet.replication import replica as replica_module
+from reelusher.fleet.replication import segment_sender
 from reelusher.fleet.replication.messages import (
     MAX_REPLY_BYTES,
     MAX_SEGMENT_BYTES,
@@ -54,6 +54,12 @@
     return tmp_path if request.param == "file" else None
 
 
+def limit_segments(patch: pytest.MonkeyPatch, max_bytes: int) -> None:
+    """Limit segments and replies to about `max_bytes` of entries; a single entry may exceed that."""
+    patch.setattr(segment_sender, "MAX_SEGMENT_BYTES", max_bytes)
+    patch.setattr(segment_sender, "MAX_REPLY_BYTES", max_bytes)
+
+
 def live_rows(fleet: Replicas, name: str) -> dict[str, tuple[int, str]]:
     return fleet.live_rows(name)
 
@@ -490,8 +496,7 @@
 ) -> None:
     fleet = Replicas(3, folder)
     miss_collected_removal(fleet)
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    limit_segments(monkeypatch, 1)
     before, announced = set(live_rows(fleet, "n1")), list(fleet.replicas["n1"].announce())
     steps = 0
     while fleet.replicas["n1"].announce() == announced:
@@ -511,8 +516,7 @@
     fleet = Replicas(3, folder)
     miss_collected_removal(fleet)
     fleet.settle()
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    limit_segments(monkeypatch, 1)
     fleet.add("n4")
     results = []
     for sender in ("c1", "n2", "n3", "c1", "n2"):
@@ -548,8 +552,7 @@
     fleet.pull("n1", "c1")
     fleet.change(C1[0], "")
     fleet.change(C1[1], pad="newer")
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    limit_segments(monkeypatch, 1)
     fleet.pull("n4", "n1")
     fleet.pull("n4", "c1")
     assert set(live_rows(fleet, "n4")) == {C1[0], C1[2]}
@@ -569,8 +572,7 @@
 ) -> None:
     fleet = Replicas(3, folder)
     miss_collected_removal(fleet)
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    limit_segments(monkeypatch, 1)
     for sender in ("c1", "n2", "n2", "n2", "n2", "c1", "c1"):  # n2 lags by one change
         fleet.pull("n1", sender)
         assert C1[2] in live_rows(fleet, "n1")
@@ -584,8 +586,7 @@
     fleet = Replicas(3, folder)
     miss_collected_removal(fleet)
     fleet.add("n4")
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    limit_segments(monkeypatch, 1)
     fleet.pull("n1", "c1")
     assert fleet.replicas["n1"].states["c1"].cursor > 0
     for _ in range(3):
@@ -602,8 +603,7 @@
     fleet = Replicas(3, folder)
     miss_collected_removal(fleet)
     fleet.add("n4")
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    limit_segments(monkeypatch, 1)
     fleet.pull("n4", "c1")
     assert fleet.replicas["n4"].states["c1"].horizon == 6
     result = fleet.pull("n4", "n1")
@@ -705,8 +705,7 @@
         fleet.change(name)
     fleet.pull("c2", "c1")
     fleet.change(C1[1], pad="lost")  # index 5 supersedes index 2
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    limit_segments(monkeypatch, 1)
     for _ in range(2):
         fleet.pull("n1", "c1")  # indexes 1 and 3, not 2
     assert live_rows(fleet, "n1") == {C1[0]: (1, "active"), C1[2]: (3, "active")}
@@ -729,8 +728,7 @@
         fleet.change(name)
     fleet.pull("c2", "c1")
     fleet.change(C1[0], pad="lost")
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    limit_segments(monkeypatch, 1)
     fleet.pull("n1", "c1")
     fleet.pull("n1", "c1")
     state = fleet.replicas["n1"].states["c1"]
@@ -755,8 +753,7 @@
     fleet.pull("c2", "c1")
     fleet.change(C1[4])
     fleet.replicas["c2"].begin_term("c1", "c2")
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    limit_segments(monkeypatch, 1)
     pulls = 0
     while fleet.pull("c1", "c2") is not None:
         pulls += 1
@@ -783,8 +780,7 @@
     fleet.settle("c1", "c2")
     for name in C1[3:6]:
         fleet.change(name, by="c2")
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    limit_segments(monkeypatch, 1)
     for _ in range(refilled_through):
         fleet.pull("n1", "c2")
     fleet.replicas["c1"].begin_term("c1", "c1")  # without the changes 4 to 6 of c2
@@ -802,8 +798,7 @@
     fleet = Replicas(1, folder)
     for name in C1[:4]:
         fleet.change(name)
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    limit_segments(monkeypatch, 1)
     fleet.pull("c2", "c1")
     with pytest.raises(NotLeaderError, match="refilled"):
         fleet.replicas["c2"].begin_term("c1", "c2")
@@ -823,8 +818,7 @@
     fleet.replicas["c2"].begin_term("c1", "c2")
     fleet.change(C1[4], by="c2")
     fleet.settle("c2", "n1")
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", 1)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", 1)
+    limit_segments(monkeypatch, 1)
     for _ in range(refilled_through):
         fleet.pull("c1", "c2")
     fleet.replicas["c1"].begin_term("c1", "c1", force=True)
@@ -995,8 +989,7 @@
     A single entry may exceed the limit.
     """
     with pytest.MonkeyPatch.context() as patch, tempfile.TemporaryDirectory() as directory:
-        patch.setattr(replica_module, "MAX_SEGMENT_BYTES", max_bytes)
-        patch.setattr(replica_module, "MAX_REPLY_BYTES", max_bytes)
+        limit_segments(patch, max_bytes)
         fleet = Replicas(3, Path(directory) if files else None)
         yield fleet
         fleet.close()
@@ -1106,8 +1099,7 @@
     With small segments others may be in the middle of a bootstrap when the file is put back. If nobody has
     the rest, an operator forces a take-over.
     """
-    monkeypatch.setattr(replica_module, "MAX_SEGMENT_BYTES", max_bytes)
-    monkeypatch.setattr(replica_module, "MAX_REPLY_BYTES", max_bytes)
+    limit_segments(monkeypatch, max_bytes)
     for seed in range(300):
         node, random = PutBackFleet(), Random(seed)
         for _ in range(40):
