Find the attempts of an ended connection by their requests, not by their run ids

What callers saw: a request that ran was never answered, neither with its result nor at its due time, after another client had sent a request under the same id on a connection that then ended.

Cause: the front end told the core the run ids that a connection had used. The second request with an id is refused, so the attempt found under that id was the other caller's, and its answer was dropped.

Change: CallersDisconnected carries the requests; Attempts.of_request finds an attempt by the request itself, which no other caller can share. AJP draws its run ids itself and reports no disconnects; calls are found by a ticket and persisted keys by an attempt number that are never given twice.

--- a/reelusher/core/attempts.py
+++ b/reelusher/core/attempts.py
@@ -92,6 +92,11 @@
         """Return the open attempt with this run id, if there is one."""
         return self._by_run_id.get(run_id)
 
+    def of_request(self, request: IncomingRequest) -> Attempt | None:
+        """Return the open attempt of this very request; None if its run id is that of another request."""
+        attempt = self._by_run_id.get(request.run_id)
+        return attempt if attempt is not None and attempt.request is request else None
+
     def remove(self, attempt: Attempt) -> None:
         """Remove an attempt, if it is still open."""
         if self._by_id.pop(attempt.id, None) is not None:
--- a/reelusher/core/messages.py
+++ b/reelusher/core/messages.py
@@ -110,9 +110,12 @@
 
 @dataclass(slots=True, frozen=True)
 class CallersDisconnected:
-    """The callers of these attempts have disconnected; no answer can be delivered."""
+    """The callers of these requests have disconnected; no answer can be delivered.
 
-    run_ids: tuple[str, ...]
+    The requests themselves identify the attempts: another caller may use the same run id.
+    """
+
+    requests: tuple[IncomingRequest, ...]
 
 
 @dataclass(slots=True, frozen=True)
--- a/reelusher/core/request_lifecycle.py
+++ b/reelusher/core/request_lifecycle.py
@@ -142,8 +142,8 @@
 
     def on_callers_disconnected(self, message: CallersDisconnected) -> None:
         """Drop the answers to attempts whose callers have disconnected."""
-        for run_id in message.run_ids:
-            attempt = self._context.attempts.by_run_id(run_id)
+        for request in message.requests:
+            attempt = self._context.attempts.of_request(request)
             if attempt and not attempt.answered:
                 self._context.counters.add("answers.undeliverable")
                 self._answers.drop(attempt)
--- a/reelusher/frontends/rpc/connection.py
+++ b/reelusher/frontends/rpc/connection.py
@@ -5,6 +5,7 @@
 import time
 
 from reelusher.codecs import msgpack
+from reelusher.core.messages import IncomingRequest
 from reelusher.drain.connection_shutdown import unread_bytes
 from reelusher.drain.schedule import ConnectionPhase, ConnectionState
 from reelusher.frontends.rpc.fields import LAST_CALL_NOTICE
@@ -26,7 +27,7 @@
         self.send_buffer = SendBuffer(sock, MAX_BACKLOG_BYTES, budget)
         self.decoder = msgpack.Decoder(MAX_FRAME_BYTES)
         self.lock = threading.Lock()
-        self.open_requests: dict[int, str] = {}  # run ids by message id
+        self.open_requests: dict[int, IncomingRequest] = {}  # by message id
         self._answers_in_progress = 0
         self.last_used_s = time.monotonic()
         self.messages_read = 0
--- a/reelusher/frontends/rpc/frontend.py
+++ b/reelusher/frontends/rpc/frontend.py
@@ -333,7 +333,7 @@
             self._on_bad_request(connection, message_id, error)
             return
         with connection.lock:
-            connection.open_requests[message_id] = request.run_id
+            connection.open_requests[message_id] = request
         self._core.post(RequestArrived(request))
 
     def _on_bad_request(self, connection: Connection, message_id: int, error: BadRequestError) -> None:
@@ -391,11 +391,11 @@
     def _release_broken(self, connection: Connection) -> None:
         """Release a broken connection, and tell the core that no answers can be sent on it."""
         with connection.lock:
-            run_ids = tuple(run_id for run_id in connection.open_requests.values() if run_id)
+            requests = tuple(connection.open_requests.values())
         self._core.counters.add("platform.closed_broken")
         self._release(connection)
-        if run_ids:
-            self._core.post(CallersDisconnected(run_ids))
+        if requests:
+            self._core.post(CallersDisconnected(requests))
 
     def _release(self, connection: Connection) -> None:
         if unread_bytes(connection.sock):
--- a/tests/core/test_dependency_calls.py
+++ b/tests/core/test_dependency_calls.py
@@ -24,8 +24,9 @@
 
 def test_answered_attempt_cancels_its_call() -> None:
     harness = CoreHarness()
-    harness.process(harness.request("a", 1))
+    arrival = harness.request("a", 1)
+    harness.process(arrival)
     harness.process(CallRequested("a", 5, b"q"))
-    harness.process(CallersDisconnected(("a",)))
+    harness.process(CallersDisconnected((arrival.request,)))
     assert harness.backend.commands[-1][0] == "cancel"
     assert harness.verdicts("a") == []
--- a/tests/drain/test_connection_shutdown.py
+++ b/tests/drain/test_connection_shutdown.py
@@ -9,6 +9,7 @@
 import pytest
 
 from reelusher.core.counters import Counters
+from reelusher.core.messages import IncomingRequest
 from reelusher.drain.connection_shutdown import ConnectionShutdown, unread_bytes
 from reelusher.drain.schedule import ConnectionPhase, DrainSchedule
 from reelusher.frontends.rpc import connection as connection_module
@@ -17,6 +18,7 @@
 from reelusher.net.send_buffer import ByteBudget
 
 CONNECTIONS = 50
+OPEN_REQUEST = IncomingRequest("run", 0, b"body", 0, lambda answer: None)
 READ_S = 10.0  # time that sockets get, however slow the machine: the drain's own timer is due after 20 ms
 
 
@@ -111,7 +113,7 @@
     assert not poll()
     poller._run_ready(min_s=READ_S)
     assert poll()
-    frontend.open[8].open_requests[1] = "run"
+    frontend.open[8].open_requests[1] = OPEN_REQUEST
     assert not poll()
     frontend.open[8].open_requests.clear()
     assert poll()
@@ -123,7 +125,7 @@
     poller: Poller, frontend: ManyConnections, examined: list[socket.socket]
 ) -> None:
     """Guard against the same cost while the last connections are shut down."""
-    frontend.open[3].open_requests[1] = "run"
+    frontend.open[3].open_requests[1] = OPEN_REQUEST
     frontend.fail_open_requests = lambda connection: None  # type: ignore[method-assign]
     poll = start(poller, frontend, shutdown_s=0)
     phases = [connection.phase for connection in frontend.open]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import socket
+import struct
 import tempfile
 import threading
 import time
@@ -77,6 +78,11 @@
             pass
         return list(self.received)
 
+    def reset(self) -> None:
+        """Close the connection by a reset."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
     def answer(self) -> Any:
         """Return the next message."""
         while not self.received:
@@ -210,6 +216,31 @@
     assert [message[1] for message in peer.until_end()] == list(last)
 
 
+@pytest.mark.parametrize("ending", ["malformed", "reset"])
+def test_end_of_a_connection_with_a_copied_run_id_leaves_the_run_its_caller(
+    environment: dict[str, Any], ending: str
+) -> None:
+    """Guard against a lost answer: the end of any connection that used a run id dropped the run's answer."""
+    node, runtime = environment["node"].node, environment["runtime"]
+    caller, copying_client, hold = Peer(node), Peer(node), threading.Event()
+    caller.sock.sendall(request_bytes(1, txn="00000000000000aa"))
+    runtime.expect(["start", "00000000000000aa"])
+    node.parts.core.post(EventLoopTask(lambda: hold.wait(parties.EXPECT_TIMEOUT_S), Future()))
+    copy = request_bytes(1, txn="00000000000000aa")
+    copying_client.sock.sendall(copy + (b"\xc1" if ending == "malformed" else b""))
+    counters = node.parts.counters
+    if ending == "reset":
+        frontend = caller_frontend(environment)
+        assert wait_until(lambda: sum(c.unanswered for c in frontend.connections()) == 2)
+        copying_client.reset()
+    counter = "platform.malformed" if ending == "malformed" else "platform.closed_broken"
+    assert wait_until(lambda: counters.snapshot().get(counter) == 1)
+    hold.set()
+    assert wait_until(lambda: counters.snapshot().get("requests.name_taken") == 1)
+    runtime.send(["end", "00000000000000aa", "ok", "r"])
+    assert caller.answer()[3][0] == b"r"
+
+
 @pytest.mark.parametrize("environment", [{"sockets": "32"}], indirect=True)
 def test_connection_beyond_the_limit_is_rejected_before_it_is_closed(environment: dict[str, Any]) -> None:
     frontend = caller_frontend(environment)
