Never repeat a reply on a new link to the runtime: omit its call, or send nothing

What callers saw: now and then a request was served with a result made from the data of another of its calls.

Cause: after a break, the next link repeats the commands that the broken one may have lost. `give` doesn't name its call and is taken by the call at which the run stands. If the first one had arrived and the run reached its next call before the second one was read, that call got the old reply; its own came too late. Its notice was still on its way.

With the replacement taken out, the new test reads `give ... reply-1` again on the next link for both kinds of classes (2 failed).

Change: a `give` that a link has carried is not repeated. `omit`, which names its call by its notice, takes its place; it means nothing if the reply arrived. Where the call can't be omitted nothing is sent, and a run whose reply was lost fails at its due time. A `give` that no link has carried is sent as it is. Commands, their repetitions and replies are types of their own. Counters runtime.reply_omitted and runtime.reply_not_repeated.

The test of the last 50 ms names its commands `stop` where it said `give`, as strict as before.

--- a/reelusher/backends/ajp/worker_pool.py
+++ b/reelusher/backends/ajp/worker_pool.py
@@ -20,7 +20,15 @@
 from reelusher.codecs import ajp13
 from reelusher.codecs.errors import MalformedError
 from reelusher.core.counters import Counters
-from reelusher.core.messages import GaugesReceived, IncomingRequest, Message, Result, RunFinished, Runner
+from reelusher.core.messages import (
+    CallReply,
+    GaugesReceived,
+    IncomingRequest,
+    Message,
+    Result,
+    RunFinished,
+    Runner,
+)
 from reelusher.policy.events import Outcome
 
 if TYPE_CHECKING:
@@ -157,7 +165,7 @@
     def resume(self, run_id: str) -> None:
         """Do nothing: a stopped run has ended and can't be resumed."""
 
-    def deliver_reply(self, run_id: str, body: bytes) -> None:
+    def deliver_reply(self, run_id: str, reply: CallReply) -> None:
         """Do nothing: workers make their calls themselves."""
 
     def skip_call(self, run_id: str, serial: int) -> None:
--- a/reelusher/backends/runtime.py
+++ b/reelusher/backends/runtime.py
@@ -10,11 +10,12 @@
 
 from loguru import logger
 
-from reelusher.backends.unacknowledged_commands import UnacknowledgedCommands
+from reelusher.backends.unacknowledged_commands import Command, UnacknowledgedCommands
 from reelusher.codecs import lines
 from reelusher.codecs.errors import MalformedError
 from reelusher.core.counters import Counters
 from reelusher.core.messages import (
+    CallReply,
     CallRequested,
     GaugesReceived,
     IncomingRequest,
@@ -62,6 +63,10 @@
     sent again on the next link, but only after the missed notices, which may acknowledge them. There `sync`
     requests the missed notices, a gauge request follows the notice `ready`, and the reply to it comes after
     all missed notices.
+
+    `give` is the exception, since it doesn't name its call: if the first one was read, and the run is at its
+    next call meanwhile, a second one would be taken for the reply to that. `omit` names its call and is
+    sent instead. Where the call can't be omitted nothing is, and a run whose reply was lost waits in vain.
     """
 
     def __init__(
@@ -149,23 +154,25 @@
 
     def start(self, request: IncomingRequest, class_name: str) -> None:
         """Start a run."""
-        self._send_command(START, request.run_id, service=class_name, blob=lines.encode_body(request.body))
+        self._send_repeatable(START, request.run_id, service=class_name, blob=lines.encode_body(request.body))
 
     def stop(self, run_id: str) -> None:
         """Stop a run: the preemption mode of the settings decides whether it ends or is paused."""
-        self._send_command(STOP, run_id)
+        self._send_repeatable(STOP, run_id)
 
     def resume(self, run_id: str) -> None:
         """Resume a paused run."""
-        self._send_command(RESUME, run_id)
+        self._send_repeatable(RESUME, run_id)
 
-    def deliver_reply(self, run_id: str, body: bytes) -> None:
+    def deliver_reply(self, run_id: str, reply: CallReply) -> None:
         """Deliver the reply to a call."""
-        self._send_command(GIVE, run_id, blob=lines.encode_body(body))
+        command = _command(GIVE, run_id, blob=lines.encode_body(reply.body))
+        repetition = _command(OMIT, run_id, serial=reply.serial) if reply.is_optional else None
+        self._send_command(command, repetition)
 
     def skip_call(self, run_id: str, serial: int) -> None:
         """Let a run continue without the call that the notice `serial` requested."""
-        self._send_command(OMIT, run_id, serial=serial)
+        self._send_repeatable(OMIT, run_id, serial=serial)
 
     def request_gauges(self, cookie: str) -> bool:
         """Request the gauges; return False if the link is not ready or the request was not sent."""
@@ -175,13 +182,21 @@
             self._unacknowledged.mark(cookie)
             return self._send_buffer.send(lines.encode_json_line({"msg": "gauges", "cookie": cookie}))
 
-    def _send_command(self, name: str, run_id: str, **fields: Any) -> None:
-        """Send a command, or keep it until the link is ready; each new link resends it until acknowledged."""
-        line = lines.encode_json_line({"msg": name, "call": run_id, **fields})
+    def _send_repeatable(self, name: str, run_id: str, **fields: Any) -> None:
+        """Send a command that the runtime may read twice."""
+        command = _command(name, run_id, **fields)
+        self._send_command(command, repetition=command)
+
+    def _send_command(self, command: Command, repetition: Command | None) -> None:
+        """Send a command, or keep it until the link is ready.
+
+        Each new link sends `repetition` until it is acknowledged; it sends the command itself as long as no
+        link has carried it.
+        """
         with self._lock:
-            self._unacknowledged.add(run_id, line, name)
+            entry = self._unacknowledged.add(command, repetition)
             if self._ready and self._send_buffer is not None:
-                self._send_buffer.send(line)
+                entry.sent = self._send_buffer.send(command.line)
 
     # The link
 
@@ -308,6 +323,7 @@
     def _resend(self) -> None:
         """Send all unacknowledged commands again, now that all missed notices have been read."""
         with self._lock:
+            self._replace_sent_replies()
             resent = self._unacknowledged.lines_to_resend()
             self._ready = True
             if self._send_buffer is not None:
@@ -316,6 +332,14 @@
                 if self._link_count > 1 and resent:
                     self._counters.add("runtime.sent_again", len(resent))
 
+    def _replace_sent_replies(self) -> None:
+        """Repeat no reply that a broken link may have delivered. The lock is held."""
+        outcome = self._unacknowledged.replace_sent()
+        if outcome.replaced:
+            self._counters.add("runtime.reply_omitted", outcome.replaced)
+        if outcome.dropped:
+            self._counters.add("runtime.reply_not_repeated", outcome.dropped)
+
     def _on_load(self, message: dict[str, Any]) -> None:
         """Handle the reply to a gauge request.
 
@@ -359,3 +383,7 @@
             self._post(RunFinished(run_id, Outcome.NOT_STARTED))
         else:
             self._acknowledge(run_id, (name,))
+
+
+def _command(name: str, run_id: str, **fields: Any) -> Command:
+    return Command(run_id, name, lines.encode_json_line({"msg": name, "call": run_id, **fields}))
--- a/reelusher/backends/unacknowledged_commands.py
+++ b/reelusher/backends/unacknowledged_commands.py
@@ -2,19 +2,36 @@
 
 import time
 from collections.abc import Callable, Container
+from dataclasses import dataclass
 from typing import NamedTuple
 
 MAX_MARKS = 64  # gauge requests without a reply; a node makes ten a second
 LOSS_WINDOW_S = 0.06  # a broken link loses the commands of its last 50 ms; the rest is for latency
 
 
-class SentCommand(NamedTuple):
-    """An encoded command, and when it was recorded."""
+class Command(NamedTuple):
+    """A command to the runtime."""
 
     run_id: str
-    line: bytes
-    sent_s: float
     name: str  # its name in the protocol
+    line: bytes  # the encoded command
+
+
+@dataclass(slots=True)
+class UnacknowledgedCommand:
+    """A command, and what a next link sends in its place if this one may have been read."""
+
+    command: Command
+    repetition: Command | None  # None: nothing, since a second one could do harm
+    recorded_s: float
+    sent: bool = False  # whether a link has carried it
+
+
+class ReplacedCommands(NamedTuple):
+    """How many commands of a broken link are not repeated as they were."""
+
+    replaced: int  # by another command
+    dropped: int
 
 
 class UnacknowledgedCommands:
@@ -30,7 +47,7 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self._commands: dict[int, SentCommand] = {}  # by sequence number
+        self._commands: dict[int, UnacknowledgedCommand] = {}  # by sequence number
         self._sequences_by_run: dict[str, list[int]] = {}
         self._marks: dict[str, int] = {}  # by cookie of a gauge request: the last sequence number before it
         self._last_sequence = 0
@@ -38,11 +55,14 @@
     def __len__(self) -> int:
         return len(self._commands)
 
-    def add(self, run_id: str, line: bytes, name: str = "") -> None:
-        """Record a command; `name` is needed if it can be acknowledged by `acknowledge_names`."""
+    def add(self, command: Command, repetition: Command | None) -> UnacknowledgedCommand:
+        """Record a command that has not been sent, and return its entry; `repetition` may be the same."""
         self._last_sequence += 1
-        self._commands[self._last_sequence] = SentCommand(run_id, line, self._clock(), name)
-        self._sequences_by_run.setdefault(run_id, []).append(self._last_sequence)
+        entry = self._commands[self._last_sequence] = UnacknowledgedCommand(
+            command, repetition, self._clock()
+        )
+        self._sequences_by_run.setdefault(command.run_id, []).append(self._last_sequence)
+        return entry
 
     def mark(self, cookie: str) -> None:
         """Record a gauge request with this cookie, sent after all commands so far."""
@@ -54,14 +74,16 @@
         """Drop the commands sent before the gauge request with this cookie, except the youngest."""
         through_sequence, cutoff_s = self._marks.pop(cookie, 0), self._clock() - LOSS_WINDOW_S
         while self._commands and (sequence := next(iter(self._commands))) <= through_sequence:
-            command = self._commands[sequence]
-            if command.sent_s > cutoff_s:
+            if self._commands[sequence].recorded_s > cutoff_s:
                 return
-            del self._commands[sequence]
-            remaining = self._sequences_by_run[command.run_id]
-            remaining.remove(sequence)  # the first of a few entries
-            if not remaining:
-                del self._sequences_by_run[command.run_id]
+            self._remove(sequence)
+
+    def _remove(self, sequence: int) -> None:
+        run_id = self._commands.pop(sequence).command.run_id
+        remaining = self._sequences_by_run[run_id]
+        remaining.remove(sequence)  # one of a few entries
+        if not remaining:
+            del self._sequences_by_run[run_id]
 
     def acknowledge_run(self, run_id: str) -> None:
         """Drop all commands for a run, since it has ended."""
@@ -75,17 +97,33 @@
         """
         remaining = []
         for sequence in self._sequences_by_run.pop(run_id, ()):
-            if self._commands[sequence].name in names:
+            if self._commands[sequence].command.name in names:
                 del self._commands[sequence]
             else:
                 remaining.append(sequence)
         if remaining:
             self._sequences_by_run[run_id] = remaining
 
+    def replace_sent(self) -> ReplacedCommands:
+        """Replace the commands that a broken link has carried by their repetitions, or drop them."""
+        replaced = dropped = 0
+        for sequence, entry in list(self._commands.items()):
+            if not entry.sent or entry.repetition is entry.command:
+                continue
+            if entry.repetition is None:
+                self._remove(sequence)
+                dropped += 1
+            else:
+                entry.command = entry.repetition
+                replaced += 1
+        return ReplacedCommands(replaced, dropped)
+
     def lines_to_resend(self) -> list[bytes]:
-        """Return the commands to send again on a new link, and forget the gauge requests of the old one."""
+        """Return the commands to send on a new link, and forget the gauge requests of the old one."""
         self._marks.clear()
-        return [command.line for command in self._commands.values()]
+        for entry in self._commands.values():
+            entry.sent = True
+        return [entry.command.line for entry in self._commands.values()]
 
     def clear(self) -> None:
         """Drop all commands."""
--- a/reelusher/core/dependency_calls.py
+++ b/reelusher/core/dependency_calls.py
@@ -4,7 +4,7 @@
 
 from reelusher.core.attempts import Attempt, AttemptState
 from reelusher.core.context import CoreContext
-from reelusher.core.messages import CallFinished, CallRequested, Dependency
+from reelusher.core.messages import CallFinished, CallReply, CallRequested, Dependency
 from reelusher.policy.actions import Call, SkipCall
 from reelusher.policy.events import CallEnded, CallNeeded, Outcome
 
@@ -47,13 +47,18 @@
         context.counters.add("calls." + message.outcome.value)
         if message.outcome is Outcome.OK:
             self.last_success_s = context.now_us / 1e6
-            attempt.runner.deliver_reply(message.run_id, message.body)
+            reply = CallReply(attempt.call_serial, message.body, self._is_optional(attempt))
+            attempt.runner.deliver_reply(message.run_id, reply)
             attempt.state = AttemptState.RUNNING
         else:
             attempt.state = AttemptState.AWAITING_CALL
         duration_us = max(0, context.now_us - attempt.call_started_us)
         context.pending_events.append(CallEnded(attempt.id, message.outcome, duration_us))
 
+    def _is_optional(self, attempt: Attempt) -> bool:
+        request_class = self._context.settings.classes[attempt.request.class_index]
+        return request_class.degraded_value_fraction > 0
+
     def make(self, action: Call) -> None:
         """Make the call that a run waits for."""
         context = self._context
--- a/reelusher/core/messages.py
+++ b/reelusher/core/messages.py
@@ -69,6 +69,15 @@
     backend_data: object = None  # further data for the backend; opaque to the core
 
 
+@dataclass(slots=True, frozen=True)
+class CallReply:
+    """The reply to the call that a run waits for."""
+
+    serial: int  # serial number of the notice that requested the call
+    body: bytes
+    is_optional: bool  # the run may also continue without it
+
+
 class Runner(Protocol):
     """Runs attempts. Called on the event loop thread only; must not block."""
 
@@ -81,8 +90,11 @@
     def resume(self, run_id: str) -> None:
         """Resume a preempted run."""
 
-    def deliver_reply(self, run_id: str, body: bytes) -> None:
-        """Deliver the reply to the call that a run waits for, and let the run continue."""
+    def deliver_reply(self, run_id: str, reply: CallReply) -> None:
+        """Deliver the reply to the call that a run waits for, and let the run continue.
+
+        A run never gets the reply to another of its calls: where that can't be ruled out it gets none.
+        """
 
     def skip_call(self, run_id: str, serial: int) -> None:
         """Let a run continue without the call that the notice with this serial number requested."""
--- a/reelusher/lab/fleet/model.py
+++ b/reelusher/lab/fleet/model.py
@@ -17,6 +17,7 @@
 from reelusher.core.messages import (
     Answer,
     CallFinished,
+    CallReply,
     CallRequested,
     DrainRequested,
     GaugesReceived,
@@ -136,7 +137,7 @@
     def resume(self, run_id: str) -> None:
         """Do nothing: runs are never stopped."""
 
-    def deliver_reply(self, run_id: str, body: bytes) -> None:
+    def deliver_reply(self, run_id: str, reply: CallReply) -> None:
         """Let a run continue with the reply to its call."""
         self.after_latency(self.runtime.continue_run, run_id, self.remaining_work_ms.pop(run_id), False)
 
--- a/tests/backends/test_runtime_link.py
+++ b/tests/backends/test_runtime_link.py
@@ -9,7 +9,7 @@
 
 from reelusher.backends.runtime import RuntimeLink
 from reelusher.core.counters import Counters
-from reelusher.core.messages import CallRequested, IncomingRequest, Message, RunFinished
+from reelusher.core.messages import CallReply, CallRequested, IncomingRequest, Message, RunFinished
 from reelusher.policy.events import Outcome
 
 RUN_ID = "00000000000000aa"
@@ -86,8 +86,38 @@
     started.runtime.expect(["nothing"])
 
 
+@pytest.mark.parametrize(("is_optional", "resent"), [(True, ["omit", RUN_ID, "1"]), (False, ["nothing"])])
+def test_reply_that_a_broken_link_may_have_delivered_is_not_given_to_the_next_call(
+    started: LinkUnderTest, is_optional: bool, resent: list[str]
+) -> None:
+    """Guard against a run that gets the reply to its earlier call: `give` doesn't name the call."""
+    started.runtime.send(["wants", RUN_ID, "call-1"])
+    assert wait_until(lambda: CallRequested(RUN_ID, 1, b"call-1") in started.posted)
+    started.link.deliver_reply(RUN_ID, CallReply(1, b"reply-1", is_optional))
+    started.runtime.expect(["give", RUN_ID, "reply-1"])
+    started.break_link(last_serial=1)
+    started.runtime.expect(resent)
+    started.runtime.send(["wants", RUN_ID, "call-2"])  # the run had gone on before it read anything again
+    assert wait_until(lambda: CallRequested(RUN_ID, 2, b"call-2") in started.posted)
+    started.link.deliver_reply(RUN_ID, CallReply(2, b"reply-2", is_optional))
+    started.runtime.expect(["give", RUN_ID, "reply-2"])
+
+
+def test_reply_that_no_link_has_carried_is_delivered_by_the_next_one(started: LinkUnderTest) -> None:
+    """Guard against a reply that is lost with a link that had broken before it."""
+    started.runtime.send(["wants", RUN_ID, "call"])
+    assert wait_until(lambda: CallRequested(RUN_ID, 1, b"call") in started.posted)
+    started.runtime.ready = False
+    started.break_link(last_serial=1)
+    assert not started.link.up
+    started.link.deliver_reply(RUN_ID, CallReply(1, b"reply", is_optional=False))
+    started.runtime.ready = True
+    started.break_link(last_serial=1)
+    started.runtime.expect(["give", RUN_ID, "reply"])
+
+
 def test_rejected_command_acknowledges_no_other_command_of_its_run(started: LinkUnderTest) -> None:
-    started.link.deliver_reply(RUN_ID, b"reply")
+    started.link.deliver_reply(RUN_ID, CallReply(1, b"reply", is_optional=True))
     started.link.stop(RUN_ID)
     started.runtime.expect(["give", RUN_ID])
     started.runtime.expect(["stop", RUN_ID])
--- a/tests/golden/test_exchanges.py
+++ b/tests/golden/test_exchanges.py
@@ -19,7 +19,7 @@
 from reelusher.codecs.lines import JsonLineDecoder
 from reelusher.core.clock import Clock
 from reelusher.core.counters import Counters
-from reelusher.core.messages import IncomingRequest
+from reelusher.core.messages import CallReply, IncomingRequest
 from reelusher.policy.timing import PERIOD_US
 
 GOLDEN = "exchanges.json"
@@ -138,7 +138,7 @@
     link.start(request, "day-view")
     link.stop(request.run_id)
     link.resume(request.run_id)
-    link.deliver_reply(request.run_id, b"reply")
+    link.deliver_reply(request.run_id, CallReply(1, b"reply", is_optional=True))
     link.skip_call(request.run_id, 7)
     link.request_gauges("t9")
     assert wait_until(lambda: data.count(b"\n") == 8)
--- a/tests/parties.py
+++ b/tests/parties.py
@@ -231,7 +231,9 @@
             return None
         body = base64.b64decode(message.get("blob", "")).decode()
         return " ".join(
-            str(word) for word in (kind, message["call"], message.get("service", ""), body) if word
+            str(word)
+            for word in (kind, message["call"], message.get("service", ""), message.get("serial", ""), body)
+            if word
         )
 
     def send(self, words: Words) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -20,7 +20,7 @@
 from helpers import free_address, small_node_settings, wait_until
 
 from reelusher.backends import downstream_client
-from reelusher.backends.unacknowledged_commands import UnacknowledgedCommands
+from reelusher.backends.unacknowledged_commands import Command, UnacknowledgedCommands
 from reelusher.codecs import msgpack
 from reelusher.config import ConfigError, load
 from reelusher.config.load import merge
@@ -511,15 +511,20 @@
     """A broken link loses the commands of the last 50 ms, even if gauges were answered within that time."""
     now_s = 0.0
     commands = UnacknowledgedCommands(lambda: now_s)
-    commands.add("a", b"start a")
-    commands.add("b", b"start b")
+
+    def add(run_id: str, line: bytes) -> None:
+        command = Command(run_id, "", line)
+        commands.add(command, command)
+
+    add("a", b"start a")
+    add("b", b"start b")
     now_s = 0.1
-    commands.add("a", b"give a")
-    commands.add("c", b"start c")
+    add("a", b"stop a")
+    add("c", b"start c")
     commands.mark("t1")
-    commands.add("d", b"start d")
+    add("d", b"start d")
     commands.acknowledge_gauges("t1")
-    assert commands.lines_to_resend() == [b"give a", b"start c", b"start d"]
+    assert commands.lines_to_resend() == [b"stop a", b"start c", b"start d"]
     commands.acknowledge_run("c")  # a notice of its run shows that its start was carried out
     now_s = 0.2
     commands.mark("t2")
