Bound requests by their values, and half requests of all connections by their memory

What callers saw: no answers, then a node that was killed for its memory, while hundreds of clients had each sent half a request of nested empty maps or very many short fields.

Cause: a request was bounded as sent, by its bytes and each container's items. Decoded, a byte can be an empty map, 72 bytes and 2 us; a half request held up to 1.1 MB, and nothing bounded all connections together.

Change: at most 256 values a request (one with all fields has 22), counted as they are read. The memory of incomplete requests, counted as decoded, is bounded over all connections by a twentieth of the node's; beyond it those go that have been incomplete for longest, so that a usual caller's message, complete soon after it began, stays.

--- a/reelusher/assembly/platform.py
+++ b/reelusher/assembly/platform.py
@@ -15,6 +15,9 @@
 from reelusher.frontends.rpc.frontend import RpcFrontend
 
 SEND_BUFFER_MEMORY_FRACTION = 0.1  # fraction of the node's memory for answers not read by slow callers yet
+PARTIAL_MEMORY_FRACTION = (
+    0.05  # fraction of the node's memory for messages that slow callers have not completed
+)
 
 
 def build_backends(parts: NodeParts, config: Config) -> None:
@@ -41,6 +44,7 @@
         parts.memory_bytes(SEND_BUFFER_MEMORY_FRACTION),
         lambda lag_s: parts.poller_lag.observe(lag_s, time.monotonic()),
         shared=platform.operator is not None,
+        max_partial_bytes=parts.memory_bytes(PARTIAL_MEMORY_FRACTION),
     )
     if platform.operator:
         from reelusher.frontends.operations import OperationsFrontend, max_calls
--- a/reelusher/codecs/msgpack.py
+++ b/reelusher/codecs/msgpack.py
@@ -14,6 +14,9 @@
 MAX_ITEMS = 256  # limit on the items of an array and the entries of a map
 MAX_DEPTH = 8  # limit on arrays and maps within each other
 MAX_FRAME_BYTES = 1 << 18  # size limit of one complete value
+MAX_FRAME_VALUES = 1 << 16  # limit on the values in one complete value, itself included
+VALUE_BYTES = 80  # memory of a decoded value beside its text: a small object and its place in a container
+CHARACTER_BYTES = 4  # memory of a decoded character, at most
 
 
 class _IncompleteValueError(Exception):
@@ -66,11 +69,19 @@
 class Decoder:
     """Splits a stream into values. Decoded parts of a value are not decoded again when more bytes arrive."""
 
-    def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+    def __init__(
+        self, max_frame_bytes: int = MAX_FRAME_BYTES, max_frame_values: int = MAX_FRAME_VALUES
+    ) -> None:
+        """Limit a complete value to so many bytes, and to so many values within it.
+
+        Decoded, an empty map takes 70 times the memory of its byte, and as much time as a long string.
+        """
         self._max_frame_bytes = max_frame_bytes
+        self._max_frame_values = max_frame_values
         self._buffer = bytearray()
         self._position = 0
         self._frame_bytes = 0  # bytes read of the value that is not complete yet
+        self._frame_values = 0  # values read of it
         self._open_containers: list[_OpenContainer] = []
 
     @property
@@ -78,6 +89,17 @@
         """Whether a value has started and is not complete."""
         return bool(self._buffer or self._open_containers)
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory that the incomplete value takes at most."""
+        return len(self._buffer) + self._frame_bytes * CHARACTER_BYTES + self._frame_values * VALUE_BYTES
+
+    def clear(self) -> None:
+        """Drop the incomplete value."""
+        self._buffer.clear()
+        self._open_containers.clear()
+        self._frame_bytes = self._frame_values = 0
+
     def feed(self, data: bytes) -> Iterator[Any]:
         """Add received bytes and yield the values that are complete. Raises `MalformedError`."""
         self._buffer += data
@@ -92,12 +114,12 @@
                     break
                 finally:
                     self._frame_bytes += self._position - start
-                if self._frame_bytes > self._max_frame_bytes:
-                    raise MalformedError(f"a value of more than {self._max_frame_bytes} bytes")
+                self._frame_values += 1
+                self._check_frame_size()
                 if not isinstance(value, _OpenContainer):
                     value = self._append(value)
                 if not isinstance(value, _OpenContainer):
-                    self._frame_bytes = 0
+                    self._frame_bytes = self._frame_values = 0
                     yield value
         finally:
             del self._buffer[: self._position]
@@ -105,6 +127,12 @@
         if self._frame_bytes + len(self._buffer) > self._max_frame_bytes:
             raise MalformedError(f"a value of more than {self._max_frame_bytes} bytes")
 
+    def _check_frame_size(self) -> None:
+        if self._frame_bytes > self._max_frame_bytes:
+            raise MalformedError(f"a value of more than {self._max_frame_bytes} bytes")
+        if self._frame_values > self._max_frame_values:
+            raise MalformedError(f"a value of more than {self._max_frame_values} values")
+
     def _append(self, value: Any) -> Any:
         """Append a value to the innermost open container, and close the containers that this completes.
 
--- a/reelusher/frontends/rpc/connection.py
+++ b/reelusher/frontends/rpc/connection.py
@@ -15,6 +15,7 @@
 
 ANSWER, NOTICE = 1, 2  # message types of MessagePack-RPC; 0 is a request
 MAX_FRAME_BYTES = 1 << 14  # size limit of one request; its body and fields take at most a third
+MAX_FRAME_VALUES = 256  # limit on the values in one request; one with all fields has 22
 MAX_BACKLOG_BYTES = 1 << 18  # size limit of the answers that wait for a slow caller
 
 
@@ -25,7 +26,7 @@
         self.sock = sock
         self.peer = peer
         self.send_buffer = SendBuffer(sock, MAX_BACKLOG_BYTES, budget)
-        self.decoder = msgpack.Decoder(MAX_FRAME_BYTES)
+        self.decoder = msgpack.Decoder(MAX_FRAME_BYTES, MAX_FRAME_VALUES)
         self.lock = threading.Lock()
         self.open_requests: dict[int, IncomingRequest] = {}  # by message id
         self._answers_in_progress = 0
--- a/reelusher/frontends/rpc/frontend.py
+++ b/reelusher/frontends/rpc/frontend.py
@@ -18,6 +18,7 @@
 from reelusher.frontends.rpc.fields import HEALTH_METHOD, BadRequestError
 from reelusher.frontends.rpc.half_closed import LINGER_S, HalfClosedConnections
 from reelusher.frontends.rpc.idle_limits import IdleLimits, idle_limits
+from reelusher.frontends.rpc.partial_messages import PartialMessages
 from reelusher.frontends.rpc.requests import (
     RequestParser,
     bad_request_reply,
@@ -46,6 +47,7 @@
 DESCRIPTORS = 3  # the front end's own: one of the listener and two of the poller
 READ_BYTES = 1 << 14  # read from one connection before others have their turn
 MAX_READS = 8  # reads of one connection in a row, so that a flood does not delay all others
+MAX_PARTIAL_BYTES = 8 << 20  # memory of the incomplete messages of all connections
 MAX_ACCEPTED = 32  # connections accepted in a row, before the open ones have their turn
 
 
@@ -65,11 +67,13 @@
         max_backlog_bytes: int,
         on_lag: Callable[[float], None] = lambda lag_s: None,
         shared: bool = False,
+        max_partial_bytes: int = MAX_PARTIAL_BYTES,
     ) -> None:
         """Bind the address and listen. Raises OSError if that fails.
 
         `max_descriptors` limits all connections, beside the front end's own `DESCRIPTORS`;
-        `max_backlog_bytes` limits the answers that wait to be sent on all of them together. All
+        `max_backlog_bytes` limits the answers that wait to be sent on all of them together, and
+        `max_partial_bytes` the memory of messages that are not complete on all of them together. All
         requests belong to `tenant`. `on_lag` is called on the poller's thread with the delay of each of its
         timers, in seconds. With `shared`, another process of the same user may listen on the address too.
         """
@@ -77,6 +81,7 @@
         self.max_half_closed = min(MAX_HALF_CLOSED, max(1, max_descriptors // DESCRIPTORS_PER_HALF_CLOSED))
         self.max_connections = max(1, max_descriptors - self.max_spare - self.max_half_closed)
         self._budget = ByteBudget(max_backlog_bytes)
+        self._partial_messages = PartialMessages(max_partial_bytes)
         self._core = core
         self._parser = RequestParser(core, tenant)
         self._connections: dict[socket.socket, Connection] = {}
@@ -286,7 +291,13 @@
             connection.partial_since_s = 0.0
         elif not connection.partial_since_s:
             connection.partial_since_s = time.monotonic()
-        return True
+        for other in self._partial_messages.update(connection):
+            self._core.counters.warn(
+                "platform.partial_memory",
+                "platform: incomplete messages take too much memory, the oldest ones are dropped",
+            )
+            self._end(other, peer_closed=False)
+        return not connection.ended
 
     def _on_message(self, connection: Connection, message: Any) -> None:
         match message:
@@ -365,10 +376,16 @@
         `peer_closed` tells that the caller has shut down its writing side.
         """
         self._poller.unwatch(connection.sock)
+        self._drop_partial(connection)
         with connection.lock:
             connection.ended, connection.peer_closed = True, peer_closed
         self._finish(connection)
 
+    def _drop_partial(self, connection: Connection) -> None:
+        """Free the memory of an incomplete message."""
+        self._partial_messages.remove(connection)
+        connection.decoder.clear()
+
     def _finish(self, connection: Connection) -> None:
         """Close or half-close a connection whose answers are all sent; otherwise the next sweep tries again.
 
@@ -401,6 +418,7 @@
         if unread_bytes(connection.sock):
             self._core.counters.add("platform.closed_unread")  # the kernel resets such a connection
         self._poller.unwatch(connection.sock)
+        self._drop_partial(connection)
         with self._lock:
             self._connections.pop(connection.sock, None)
         connection.ended = True
--- /dev/null
+++ b/tests/frontends/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the core."""
