Bound the memory of open AJP requests over all connections, and the attributes of a head

What callers saw: late answers, and a process far above its memory, while hundreds of connections each stood in the middle of a request over AJP.

Cause: max_body_kb bounds one body, nothing bounded all of them; a head could have as many attributes as fit into a packet, each some 200 bytes when decoded.

Change: open requests together may take 0.15 of the node's memory, counted as read and as decoded. Beyond it the request that has been read for longest is answered 503 (its thread reads the end of its connection); one that was read whole keeps its memory until its answer is sent. A head has at most 128 attributes.

--- a/reelusher/assembly/hosted.py
+++ b/reelusher/assembly/hosted.py
@@ -15,6 +15,7 @@
 from reelusher.tenancy.lifecycle import TenantState
 from reelusher.tenancy.registry import TenantRegistry
 
+AJP_REQUEST_MEMORY_FRACTION = 0.15  # fraction of the node's memory for requests over AJP that are open
 FIRST_RECOVERED_REQUEST_ID = 1 << 40  # request ids from here on are those of recovered idempotency keys
 
 
@@ -33,7 +34,9 @@
         tenants = _build_local_tenants(parts, operator, backends)
     if operator.ajp:
         ajp = replace(operator.ajp, max_connections=max_ajp_connections(config))
-        parts.frontends["ajp"] = AjpFrontend(parts.core, ajp, tenants.registry)
+        parts.frontends["ajp"] = AjpFrontend(
+            parts.core, ajp, tenants.registry, parts.memory_bytes(AJP_REQUEST_MEMORY_FRACTION)
+        )
     if operator.admin:
         context = AdminContext(
             parts.core,
--- a/reelusher/codecs/ajp13.py
+++ b/reelusher/codecs/ajp13.py
@@ -17,6 +17,8 @@
 BODY_OVERHEAD = 6  # bytes that a packet adds to a part of a request's body: header, part length
 CHUNK_OVERHEAD = 8  # bytes that a packet adds to a part of a response's body: header, type, part length, zero
 MAX_HEADERS = 128
+MAX_ATTRIBUTES = 128
+ENTRY_BYTES = 256  # memory of a decoded header or attribute beside its text
 NULL = 0xFFFF  # the length that stands for a null string
 
 METHODS = dict(
@@ -139,6 +141,10 @@
     named_attributes: list[tuple[str, str]] = field(default_factory=list)  # attributes without a code
     ssl_key_size: int | None = None
 
+    def memory_bytes(self) -> int:
+        """Return the memory that the decoded headers and attributes take beside their text."""
+        return ENTRY_BYTES * (len(self.headers) + len(self.attributes) + len(self.named_attributes))
+
     def header(self, name: str) -> str | None:
         """Return the first header of this name, given in lower case."""
         return next((value for key, value in self.headers if key == name), None)
@@ -289,8 +295,11 @@
 
 def _read_attributes(reader: Reader, request: ForwardedRequest, allowed: frozenset[str]) -> str:
     """Read the attributes; return the name of the first forbidden one, or an empty string."""
-    forbidden = ""
+    forbidden, count = "", 0
     while (code := reader.byte()) != LAST_ATTRIBUTE:
+        count += 1
+        if count > MAX_ATTRIBUTES:
+            raise MalformedError(f"more than {MAX_ATTRIBUTES} attributes")
         if code in ATTRIBUTES:
             request.attributes[ATTRIBUTES[code]] = reader.text()
         elif code == KEY_SIZE:
--- a/reelusher/frontends/ajp/connection.py
+++ b/reelusher/frontends/ajp/connection.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from reelusher.codecs import ajp13
+from reelusher.frontends.ajp.request_memory import RequestHold
 
 READ_BYTES = 1 << 16
 DISCARD_S = 0.2  # a connection is still read for this long after its last answer
@@ -19,20 +20,23 @@
 class PacketStream:
     """Reads the packets of one connection, one at a time."""
 
-    def __init__(self, sock: socket.socket, max_packet_bytes: int) -> None:
+    def __init__(self, sock: socket.socket, max_packet_bytes: int, hold: RequestHold) -> None:
+        """`hold` counts what is read for the present request."""
         self.sock = sock
+        self.hold = hold
         self._packets = ajp13.PacketDecoder(ajp13.TO_CONTAINER, max_packet_bytes)
         self._received: Iterator[bytes] = iter(())
 
     def next(self) -> bytes | None:
         """Wait for the next packet and return its payload; None if the web server has closed the connection.
 
-        Raises `MalformedError`, and OSError if the connection is broken or times out.
+        Raises `MalformedError`, `RequestMemoryError`, and OSError if the connection is broken or times out.
         """
         while True:
             for payload in self._received:
                 return payload
             data = self.sock.recv(READ_BYTES)
+            self.hold.acquire(len(data))
             if not data:
                 return None
             self._received = iter(list(self._packets.feed(data)))
--- a/reelusher/frontends/ajp/frontend.py
+++ b/reelusher/frontends/ajp/frontend.py
@@ -29,6 +29,7 @@
     error_response,
     response_of,
 )
+from reelusher.frontends.ajp.request_memory import RequestMemory, RequestMemoryError
 from reelusher.net.listener import Listener
 from reelusher.net.sockets import Address
 from reelusher.net.threads import start_thread
@@ -40,18 +41,30 @@
 DRAIN_POLL_S = 0.2  # poll interval of idle connections; a drain polls each once more before it closes it
 MAX_REJECTED_CONNECTIONS = 8  # rejected connections that are read at a time; others are closed unread
 DESCRIPTORS = MAX_REJECTED_CONNECTIONS + 2  # plus the listener and a connection that is closed unread
+MAX_REQUEST_BYTES = 32 << 20  # memory of the requests on all connections
 MAX_ANSWER_S = 3600.0  # no answer takes this long, since the core answers by the due time
 
 
 class AjpFrontend:
     """Serves web servers. Each connection has its own thread and carries one request at a time."""
 
-    def __init__(self, core: Core, config: Ajp, tenants: TenantRegistry) -> None:
+    def __init__(
+        self,
+        core: Core,
+        config: Ajp,
+        tenants: TenantRegistry,
+        max_request_bytes: int = MAX_REQUEST_BYTES,
+    ) -> None:
+        """Bind the address and listen. Raises OSError if that fails.
+
+        `max_request_bytes` limits the memory of the requests on all connections together.
+        """
         self._core = core
         self._config = config
         self._tenants = tenants
         self._mapper = RequestMapper(core, config)
         self._connections = ConnectionTable(config.max_connections)
+        self._memory = RequestMemory(max_request_bytes)
         self._in_flight: Counter[str] = Counter()  # requests in flight, by tenant
         self._lock = threading.Lock()  # guards _in_flight
         self._rejected_connections = threading.BoundedSemaphore(MAX_REJECTED_CONNECTIONS)
@@ -144,23 +157,35 @@
                     self._rejected_connections.release()
 
     def _serve_requests(self, sock: socket.socket) -> None:
-        stream = PacketStream(sock, self._config.packet_size)
+        hold = self._memory.hold(sock)
+        stream = PacketStream(sock, self._config.packet_size, hold)
         while self._wait_for_request(sock):
             sock.settimeout(READ_TIMEOUT_S)
-            payload = stream.next()
-            if payload is None:
-                return
-            slot = self._connections[sock]
-            slot.busy, slot.since_s = True, time.monotonic()
             try:
-                keeps_open = self._on_packet(stream, payload)
-            finally:
-                slot.busy = slot.protected = False
-                slot.since_s = time.monotonic()
-            if not keeps_open:
+                if not self._serve_request(stream):
+                    return
+            except RequestMemoryError:
+                self._core.counters.add("ajp.request_memory")
+                error = RequestError(503, "the requests on all connections take too much memory", closes=True)
+                self._send_error(stream, error)
                 return
+            finally:
+                hold.release()
         shut_and_discard(sock)  # a request may still be on its way
 
+    def _serve_request(self, stream: PacketStream) -> bool:
+        """Read a packet and handle it; return False if the connection has ended or is to be closed."""
+        payload = stream.next()
+        if payload is None:
+            return False
+        slot = self._connections[stream.sock]
+        slot.busy, slot.since_s = True, time.monotonic()
+        try:
+            return self._on_packet(stream, payload)
+        finally:
+            slot.busy = slot.protected = False
+            slot.since_s = time.monotonic()
+
     def _wait_for_request(self, sock: socket.socket) -> bool:
         """Wait for a request; return False if the connection is idle for too long or the node is draining."""
         started_s, poll = time.monotonic(), select.poll()
@@ -187,6 +212,7 @@
             return False
         try:
             forward = ajp13.read_forward(payload, self._config.allowed_attributes)
+            stream.hold.acquire(forward.memory_bytes())
             answer = self._answer(stream, forward)
         except ajp13.ForbiddenAttributeError as error:
             return self._send_error(stream, RequestError(403, str(error), closes=True))
@@ -208,6 +234,7 @@
             return Answer(Verdict.REJECTED)  # its body is left unread, and the connection is closed
         received_us = self._core.clock.now()
         body = self._mapper.read_body(stream, forward)
+        stream.hold.end_reading()
         try:
             with self._matched(forward) as match:
                 tenant = match.tenant
