Log the AJP front's own answers once in an interval, with a count of the others

What operators saw: a log that grew by 0.4 MB a second while one connection sent unsound requests under new names.

Cause: requests that the front answers itself, shutdown packets and what the administration API can't read were logged line by line. Counters.warn bounds this on the platform's front.

Change: these lines go through Counters.warn.

--- a/reelusher/admin/api.py
+++ b/reelusher/admin/api.py
@@ -102,8 +102,8 @@
                         if not message.keep_alive:
                             return
             except http1.MalformedHttpError as error:
-                self._context.core.counters.add("admin.malformed")
-                logger.warning("admin: {}:{} closed: {}", peer[0], peer[1], error)
+                counters = self._context.core.counters
+                counters.warn("admin.malformed", "admin: {}:{} closed: {}", peer[0], peer[1], error)
                 sock.sendall(_response(error.status, {"error": str(error)}, {"Connection": "close"}))
             except OSError as error:
                 logger.debug("admin: {}", error)
--- a/reelusher/frontends/ajp/frontend.py
+++ b/reelusher/frontends/ajp/frontend.py
@@ -207,8 +207,7 @@
         if packet_type == ajp13.PING:
             return True  # a PING is of the old protocol and gets no reply
         if packet_type == ajp13.SHUTDOWN:
-            self._core.counters.add("ajp.shutdown_refused")
-            logger.warning("ajp: a shutdown packet was rejected")
+            self._core.counters.warn("ajp.shutdown_refused", "ajp: a shutdown packet was rejected")
             return False
         try:
             forward = ajp13.read_forward(payload, self._config.allowed_attributes)
@@ -317,8 +316,9 @@
     # Responses
 
     def _send_error(self, stream: PacketStream, error: RequestError) -> bool:
-        self._core.counters.add(f"ajp.rejected_{error.status}")
-        logger.warning("ajp: request answered {}: {}", error.status, error)
+        self._core.counters.warn(
+            f"ajp.rejected_{error.status}", "ajp: request answered {}: {}", error.status, error
+        )
         return self._send(stream, error_response(error), not error.closes)
 
     def _send(self, stream: PacketStream, response: Response, keep_open: bool) -> bool:
