Bound how long the poller reads one connection: turns of 4 KB, 20 ms before an end

What callers saw: late answers while a few clients sent small or unsound requests at full speed, where deadlines are short.

Cause: a turn of one connection was 16 KB, and up to 128 KB were read in a row before it was ended. Small or unsound requests take 2 to 4 us a byte: 30 ms a turn and 0.3 s an end, for each such client.

Evidence, deadline 0.6 s, requests of 240 empty maps: one client: median 0.24 s, last 0.59 s, 9 of 44 Full; four: 27 of 45 requests of others late. With the smaller turns alone 20 of 45 (last 1.8 s), so the reads before an end were the rest.

Change: turns of 4 KB, more than a request with the largest body; reads before an end stop after 20 ms. What is unread then keeps an idle connection open, as before. Reads of a drain keep their limit of 128 KB.

--- a/reelusher/frontends/rpc/frontend.py
+++ b/reelusher/frontends/rpc/frontend.py
@@ -45,8 +45,9 @@
 MAX_HALF_CLOSED = 32  # half-closed connections that are still read
 DESCRIPTORS_PER_HALF_CLOSED = 16  # with few descriptors, there is one such connection for this many
 DESCRIPTORS = 3  # the front end's own: one of the listener and two of the poller
-READ_BYTES = 1 << 14  # read from one connection before others have their turn
-MAX_READS = 8  # reads of one connection in a row, so that a flood does not delay all others
+READ_BYTES = 1 << 12  # read from one connection before others have their turn
+MAX_READS = 32  # reads of one connection in a row, so that a flood does not delay all others
+MAX_LAST_READ_S = 0.02  # for reads of one connection in a row before it is closed
 MAX_PARTIAL_BYTES = 8 << 20  # memory of the incomplete messages of all connections
 MAX_ACCEPTED = 32  # connections accepted in a row, before the open ones have their turn
 
@@ -161,6 +162,13 @@
             if not self._read(connection):
                 return
 
+    def _read_briefly(self, connection: Connection) -> None:
+        """Read what a connection has received, up to the same limit, but for `MAX_LAST_READ_S` at most."""
+        end_s = time.monotonic() + MAX_LAST_READ_S
+        for _ in range(MAX_READS):
+            if not self._read(connection) or time.monotonic() > end_s:
+                return
+
     def fail_open_requests(self, connection: Connection) -> None:
         """Answer all open requests of a connection with an error, whatever the outcome of their runs.
 
@@ -430,7 +438,7 @@
         On a busy processor, received requests may still be unread. A request that arrives between this read
         and the shutdown is discarded, and its caller sends it again.
         """
-        self.read_pending(connection)
+        self._read_briefly(connection)
         if (
             not connection.unanswered
             and not connection.ended
@@ -497,19 +505,19 @@
         On a busy processor, received requests may be unread although its idle time is over.
         """
         before = connection.messages_read, connection.partial_since_s
-        self.read_pending(connection)
+        self._read_briefly(connection)
         return not connection.ended and before == (connection.messages_read, connection.partial_since_s)
 
     def _end_rejecting(self, connection: Connection, now: float) -> None:
         """End a connection `LINGER_S` after it began to reject all requests."""
         if now - connection.rejecting_since_s > LINGER_S:
-            self.read_pending(connection)  # on a busy processor, received requests may be unread
+            self._read_briefly(connection)  # on a busy processor, received requests may be unread
             if not connection.ended:
                 self._end(connection, peer_closed=False)
 
     def _end_partial(self, connection: Connection, partial_since_s: float) -> None:
         """End a connection whose message has not become complete in time, not even by a last read."""
-        self.read_pending(connection)
+        self._read_briefly(connection)
         if not connection.ended and connection.partial_since_s == partial_since_s:
             self._core.counters.add("platform.closed_partial")
             self._end(connection, peer_closed=False)
