Tell the core of each connection that ends with requests open, whatever met the reset

What callers saw: requests of clients that had closed their connections, with answers unread, were still run.

Cause: only an error at reading told the core. A reset shows once: if a send meets it first, the read sees an ordinary end, as of a caller that still wants its answers. Data from before a reset is read before its error. Ends for a backlog that is too long or stalled told the core nothing either.

Change: _release reports the open requests of every connection. An end of reading after a failed send releases the connection at once; data of a connection that the kernel holds as reset is discarded. In the core an original whose caller has left is kept while retries wait for it: they were answered with an error although nothing had run.

--- a/reelusher/core/attempts.py
+++ b/reelusher/core/attempts.py
@@ -22,6 +22,7 @@
     """An open attempt, with the state of its run and of the latest call of its run."""
 
     __slots__ = (
+        "abandoned",
         "answered",
         "awaiting_key",
         "call_body",
@@ -41,7 +42,8 @@
         self.request = request
         self.runner = runner
         self.state = AttemptState.HELD
-        self.answered = False  # it has its answer, or its caller has disconnected
+        self.answered = False  # it has its answer, or nobody waits for it
+        self.abandoned = False  # its caller has disconnected; retries attached to it may still wait
         self.started = False  # its run was started, or waits for its key to be locked and durable
         self.awaiting_key = False  # its run starts once its key is locked and durable
         self.due_us = due_us
--- a/reelusher/core/deduplication.py
+++ b/reelusher/core/deduplication.py
@@ -111,6 +111,19 @@
         self._context.pending_events.append(RunEnded(attempt.id, outcome, 0))
         self._context.attempts.remove(attempt)
 
+    def has_waiting_retries(self, attempt: Attempt) -> bool:
+        """Return whether retries that have no answer yet are attached to an attempt."""
+        entry = self._table.entry_of(attempt.id)
+        attached = () if entry is None else map(self._context.attempts.get, entry.attached)
+        return any(retry is not None and not retry.answered for retry in attached)
+
+    def original_of(self, retry: Attempt) -> Attempt | None:
+        """Return the open original that a retry is attached to, if there is one."""
+        if retry.state is not AttemptState.ATTACHED:
+            return None
+        original_id = self._table.original_id(self._table_key(retry.request), retry.request.received_us)
+        return self._context.attempts.get(original_id)
+
     # Runs of originals
 
     def must_lock_or_persist_keys(self) -> bool:
--- a/reelusher/core/request_lifecycle.py
+++ b/reelusher/core/request_lifecycle.py
@@ -146,8 +146,21 @@
             attempt = self._context.attempts.of_request(request)
             if attempt and not attempt.answered:
                 self._context.counters.add("answers.undeliverable")
-                self._answers.drop(attempt)
-                self._report_disconnected(attempt)
+                attempt.abandoned = True
+                original = self._deduplication.original_of(attempt)
+                self._drop_unless_awaited(attempt)
+                if original is not None:
+                    self._drop_unless_awaited(original)
+
+    def _drop_unless_awaited(self, attempt: Attempt) -> None:
+        """Drop an abandoned attempt, unless retries of other callers wait for its run."""
+        if (
+            attempt.abandoned
+            and not attempt.answered
+            and not self._deduplication.has_waiting_retries(attempt)
+        ):
+            self._answers.drop(attempt)
+            self._report_disconnected(attempt)
 
     # Runs
 
--- a/reelusher/frontends/rpc/frontend.py
+++ b/reelusher/frontends/rpc/frontend.py
@@ -30,7 +30,7 @@
 from reelusher.net.listener import ConnectionResourcesError, Listener
 from reelusher.net.poller import Poller
 from reelusher.net.send_buffer import ByteBudget
-from reelusher.net.sockets import Address
+from reelusher.net.sockets import Address, is_reset
 
 MAX_BAD_REQUESTS = 8  # bad requests on one connection before it is closed
 MAX_MESSAGE_ID = (1 << 32) - 1
@@ -269,10 +269,9 @@
             self._release_broken(connection)
             return False
         if not data:
-            self._count_end_of_reading(connection)
-            self._end(connection, peer_closed=True)
+            self._on_end_of_reading(connection)
             return False
-        if connection.send_buffer.closed:  # answers can't be sent any more, so no requests are run either
+        if connection.send_buffer.closed or is_reset(connection.sock):  # no answer could be sent
             self._core.counters.add("platform.discarded_bytes", len(data))
             return True
         return self._decode(connection, data)
@@ -371,12 +370,18 @@
 
     # Ending
 
-    def _count_end_of_reading(self, connection: Connection) -> None:
-        """Count why nothing more can be read, unless the node has closed the connection and counted that."""
+    def _on_end_of_reading(self, connection: Connection) -> None:
+        """End a connection that its caller has closed for writing, or release one that can't be answered.
+
+        A reset shows here as an ordinary end if a send has met the error first.
+        """
+        if not connection.send_buffer.closed:
+            self._core.counters.add("platform.closed_by_caller")
+            self._end(connection, peer_closed=True)
+            return
         if connection.send_buffer.overflowed:
             self._core.counters.add("platform.closed_backlog")
-        elif not connection.send_buffer.closed:
-            self._core.counters.add("platform.closed_by_caller")
+        self._release(connection)
 
     def _end(self, connection: Connection, peer_closed: bool) -> None:
         """Read nothing more from a connection; its open requests are still answered.
@@ -414,15 +419,17 @@
         self._half_closed.add(connection)
 
     def _release_broken(self, connection: Connection) -> None:
-        """Release a broken connection, and tell the core that no answers can be sent on it."""
-        with connection.lock:
-            requests = tuple(connection.open_requests.values())
         self._core.counters.add("platform.closed_broken")
         self._release(connection)
-        if requests:
-            self._core.post(CallersDisconnected(requests))
 
     def _release(self, connection: Connection) -> None:
+        """Close a connection, and tell the core which requests can't be answered on it any more."""
+        with connection.lock:
+            requests = tuple(connection.open_requests.values())
+            connection.open_requests.clear()
+        if requests:
+            self._core.counters.add("platform.closed_unanswered")
+            self._core.post(CallersDisconnected(requests))
         if unread_bytes(connection.sock):
             self._core.counters.add("platform.closed_unread")  # the kernel resets such a connection
         self._poller.unwatch(connection.sock)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -241,6 +241,37 @@
     assert caller.answer()[3][0] == b"r"
 
 
+@pytest.mark.parametrize("reset_before", ["a send", "reading"])
+def test_requests_of_a_reset_connection_are_not_run(environment: dict[str, Any], reset_before: str) -> None:
+    """Guard against runs for nobody: a send or unread data hid the reset, and held requests ran after it."""
+    node, frontend, hold = environment["node"].node, caller_frontend(environment), threading.Event()
+    node.parts.core.post(EventLoopTask(lambda: hold.wait(parties.EXPECT_TIMEOUT_S), Future()))
+    peer = Peer(node)
+    connection = only_connection(frontend)
+
+    def reset_before_a_send() -> None:
+        peer.reset()
+        assert wait_until(lambda: not connection.send_buffer.send(b"answer"))
+
+    def reset_before_reading() -> None:
+        peer.send(1, 2, 3)
+        assert wait_until(lambda: unread_bytes(connection.sock) >= len(request_bytes(1) * 3))
+        peer.reset()
+        time.sleep(0.05)
+
+    if reset_before == "a send":
+        peer.send(1, 2, 3)
+        assert wait_until(lambda: connection.unanswered == 3)
+        on_poller(frontend, reset_before_a_send)
+    else:
+        on_poller(frontend, reset_before_reading)
+    assert wait_until(lambda: frontend.open_connections() == 0)
+    hold.set()
+    environment["runtime"].expect(["nothing"])
+    undeliverable = node.parts.counters.snapshot().get("answers.undeliverable", 0)
+    assert undeliverable == (3 if reset_before == "a send" else 0)
+
+
 @pytest.mark.parametrize("environment", [{"sockets": "32"}], indirect=True)
 def test_connection_beyond_the_limit_is_rejected_before_it_is_closed(environment: dict[str, Any]) -> None:
     frontend = caller_frontend(environment)
