Drop held AJP requests whose web server has closed the connection

What callers saw: requests over AJP were run whose connections had been closed while they were held.

Cause: a connection's thread waits for its answer and looks at the connection no more until it sends it.

Change: while a request waits, DisconnectWatcher waits for the end of its connection, one thread and one epoll for all. It tells the core with the request itself, and wakes the connection's thread. An event is checked on the connection that has the descriptor now. The front end has one descriptor more.

--- a/reelusher/frontends/ajp/frontend.py
+++ b/reelusher/frontends/ajp/frontend.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import NamedTuple
 
 from loguru import logger
 
@@ -17,11 +18,12 @@
 from reelusher.config.operator.ajp import Ajp
 from reelusher.config.operator.tenants import Tenant
 from reelusher.core.event_loop import Core
-from reelusher.core.messages import Answer, RequestArrived, Verdict
+from reelusher.core.messages import Answer, CallersDisconnected, IncomingRequest, RequestArrived, Verdict
 from reelusher.drain.connection_shutdown import unread_bytes
 from reelusher.drain.graceful_shutdown import POLL_INTERVAL_S
 from reelusher.drain.schedule import ConnectionState, DrainObservation, DrainSchedule
 from reelusher.frontends.ajp.connection import ConnectionTable, PacketStream, shut_and_discard
+from reelusher.frontends.ajp.disconnect_watcher import DisconnectWatcher
 from reelusher.frontends.ajp.request_mapping import (
     RequestError,
     RequestMapper,
@@ -40,11 +42,18 @@
 READ_TIMEOUT_S = 10.0  # time limit of each read, of a packet that has begun or of a requested part of a body
 DRAIN_POLL_S = 0.2  # poll interval of idle connections; a drain polls each once more before it closes it
 MAX_REJECTED_CONNECTIONS = 8  # rejected connections that are read at a time; others are closed unread
-DESCRIPTORS = MAX_REJECTED_CONNECTIONS + 2  # plus the listener and a connection that is closed unread
+DESCRIPTORS = MAX_REJECTED_CONNECTIONS + 3  # plus listener, watcher, and a connection that is closed unread
 MAX_REQUEST_BYTES = 32 << 20  # memory of the requests on all connections
 MAX_ANSWER_S = 3600.0  # no answer takes this long, since the core answers by the due time
 
 
+class OpenRequest(NamedTuple):
+    """A request that was passed to the core, and the queue for its answer."""
+
+    request: IncomingRequest
+    answers: "queue.SimpleQueue[Answer | None]"  # None: the web server has closed the connection
+
+
 class AjpFrontend:
     """Serves web servers. Each connection has its own thread and carries one request at a time."""
 
@@ -71,11 +80,13 @@
         self._draining = self._closed = False
         self._schedule: DrainSchedule | None = None  # None before a drain
         self._observation: DrainObservation | None = None
+        self._disconnects = DisconnectWatcher()
         self._listener = Listener("ajp", config.listen, core.counters, self._serve)
         self.address = self._listener.address
 
     def start(self) -> None:
         """Start to accept connections."""
+        self._disconnects.start()
         self._listener.start()
 
     def drain(self, schedule: DrainSchedule) -> None:
@@ -93,6 +104,7 @@
         self._closed = self._draining = True
         self._listener.stop()
         self._connections.shut_all()
+        self._disconnects.close()
 
     def open_connections(self) -> int:
         """Return how many connections web servers hold."""
@@ -240,10 +252,13 @@
                 if not match.admitted:
                     self._core.counters.add_for(tenant.name, "turned_away")
                     return Answer(Verdict.REJECTED)
-                answers = self._submit(stream, forward, match, body, received_us)
+                open_request = self._submit(stream, forward, match, body, received_us)
         except TenantUnavailableError:
             return Answer(Verdict.REJECTED)  # already counted where it was raised
-        answer = Answer(Verdict.REJECTED) if answers is None else self._await_answer(answers, tenant)
+        if open_request is None:
+            answer = Answer(Verdict.REJECTED)
+        else:
+            answer = self._await_answer(stream.sock, open_request, tenant)
         self._core.counters.add_for(tenant.name, answer.verdict.value)
         return answer
 
@@ -271,8 +286,8 @@
         match: Match,
         body: bytes,
         received_us: int,
-    ) -> "queue.SimpleQueue[Answer] | None":
-        """Post a request to the core and return the queue for its answer.
+    ) -> OpenRequest | None:
+        """Post a request to the core.
 
         Returns None if the tenant has too many requests in flight. Raises `RequestError` if the tenant has
         too many connections, the request lacks its idempotency key, or its class is not in use any more.
@@ -284,20 +299,32 @@
             raise RequestError(503, f"{tenant.name} has {max_connections} connections", closes=True)
         if not self._try_begin_request(tenant):
             return None
-        answers: queue.SimpleQueue[Answer] = queue.SimpleQueue()
+        answers: queue.SimpleQueue[Answer | None] = queue.SimpleQueue()
         try:
             request = self._mapper.request(forward, match, class_index, key, body, received_us, answers.put)
             self._core.post(RequestArrived(request))
         except BaseException:
             self._end_request(tenant)
             raise
-        return answers
+        return OpenRequest(request, answers)
 
-    def _await_answer(self, answers: "queue.SimpleQueue[Answer]", tenant: Tenant) -> Answer:
+    def _await_answer(self, sock: socket.socket, open_request: OpenRequest, tenant: Tenant) -> Answer:
+        """Wait for the answer. Raises ConnectionError if the web server closes the connection meanwhile."""
+
+        def on_closed() -> None:
+            self._core.post(CallersDisconnected((open_request.request,)))
+            open_request.answers.put(None)
+
+        self._disconnects.watch(sock, on_closed)
         try:
-            return answers.get(timeout=MAX_ANSWER_S)
+            answer = open_request.answers.get(timeout=MAX_ANSWER_S)
         finally:
+            self._disconnects.unwatch(sock)
             self._end_request(tenant)
+        if answer is None:
+            self._core.counters.add("ajp.closed_unanswered")
+            raise ConnectionError("the web server closed the connection before the answer")
+        return answer
 
     def _try_begin_request(self, tenant: Tenant) -> bool:
         """Count a request of a tenant as in flight; return False if the tenant is at its limit."""
