Answer an AJP request 503 that is evicted as its last part is read

What callers saw: a request over AJP could end with its connection and no answer, where 503 was meant.

Cause: an evicted request's connection is shut for reading. If its last part had just been read, it was passed to the core all the same, and DisconnectWatcher, which came later, took the shut connection for one that its web server had closed.

Change: end_reading raises RequestMemoryError for a request that was evicted, under the lock that evicts.

--- a/reelusher/frontends/ajp/request_memory.py
+++ b/reelusher/frontends/ajp/request_memory.py
@@ -26,7 +26,10 @@
         self._memory.acquire(self, size_bytes)
 
     def end_reading(self) -> None:
-        """Record that the request was read: it keeps its memory, and is not evicted any more."""
+        """Record that the request was read: it keeps its memory, and is not evicted any more.
+
+        Raises `RequestMemoryError` if it was evicted before.
+        """
         self._memory.end_reading(self)
 
     def release(self) -> None:
@@ -76,9 +79,14 @@
         self._changed.notify_all()  # it may wait for memory itself
 
     def end_reading(self, hold: RequestHold) -> None:
-        """Evict this request no more."""
+        """Evict this request no more. Raises `RequestMemoryError` if it was evicted before.
+
+        Its connection is shut for reading then, which would look like the end of its web server.
+        """
         with self._changed:
             self._reading.pop(hold, None)
+            if hold.evicted:
+                raise RequestMemoryError
 
     def release(self, hold: RequestHold) -> None:
         """Take back all memory of a request."""
--- a/tests/frontends/test_ajp_request_memory.py
+++ b/tests/frontends/test_ajp_request_memory.py
@@ -97,6 +97,17 @@
     other.acquire(100)
 
 
+def test_request_that_is_evicted_as_its_last_part_is_read_is_given_up() -> None:
+    """Guard against a request that ends unanswered: its connection looked like one that was closed."""
+    memory, socks = RequestMemory(100), socket.socketpair()
+    slow, other = memory.hold(socks[0]), memory.hold(socks[1])
+    slow.acquire(90)
+    with pytest.raises(RequestMemoryError):
+        other.acquire(20)  # `slow` is evicted, and releases nothing in time
+    with pytest.raises(RequestMemoryError):
+        slow.end_reading()
+
+
 def test_request_waits_for_the_memory_of_the_one_that_is_evicted_for_it() -> None:
     memory, socks = RequestMemory(100), socket.socketpair()
     slow, other = memory.hold(socks[0]), memory.hold(socks[1])
