--- a/reelusher/assembly/platform.py
+++ b/reelusher/assembly/platform.py
@@ -15,9 +15,7 @@
 from reelusher.frontends.rpc.frontend import RpcFrontend
 
 SEND_BUFFER_MEMORY_FRACTION = 0.1  # fraction of the node's memory for answers not read by slow callers yet
-PARTIAL_MEMORY_FRACTION = (
-    0.05  # fraction of the node's memory for messages that slow callers have not completed
-)
+PARTIAL_MEMORY_FRACTION = 0.05  # fraction of the node's memory for messages that are not complete
 
 
 def build_backends(parts: NodeParts, config: Config) -> None:
--- a/reelusher/frontends/rpc/frontend.py
+++ b/reelusher/frontends/rpc/frontend.py
@@ -1,6 +1,7 @@
 """The platform's RPC front end: accepts callers, reads their requests and ends their connections."""
 
 import heapq
+import math
 import socket
 import threading
 import time
@@ -158,13 +159,13 @@
 
     def read_pending(self, connection: Connection) -> None:
         """Read what a connection has received, up to a limit."""
-        for _ in range(MAX_READS):
-            if not self._read(connection):
-                return
+        self._read_until(connection, math.inf)
 
     def _read_briefly(self, connection: Connection) -> None:
         """Read what a connection has received, up to the same limit, but for `MAX_LAST_READ_S` at most."""
-        end_s = time.monotonic() + MAX_LAST_READ_S
+        self._read_until(connection, time.monotonic() + MAX_LAST_READ_S)
+
+    def _read_until(self, connection: Connection, end_s: float) -> None:
         for _ in range(MAX_READS):
             if not self._read(connection) or time.monotonic() > end_s:
                 return
--- a/reelusher/frontends/rpc/partial_messages.py
+++ b/reelusher/frontends/rpc/partial_messages.py
@@ -22,7 +22,7 @@
 
     def update(self, connection: Connection) -> list[Connection]:
         """Record what a connection holds now; return the connections to end, so that the limit holds."""
-        held_bytes = connection.decoder.held_bytes if connection.decoder.partial else 0
+        held_bytes = connection.decoder.held_bytes
         if not held_bytes:
             self.remove(connection)
             return []
--- a/reelusher/net/sockets.py
+++ b/reelusher/net/sockets.py
@@ -4,7 +4,6 @@
 
 Address = tuple[str, int]  # host, port
 
-
 TCP_CLOSE = 7  # the state of a connection that was reset, in the first byte of TCP_INFO on Linux
 
 
--- a/tests/frontends/__init__.py
+++ b/tests/frontends/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the core."""
+"""Tests of the front ends."""
--- a/tests/frontends/test_floods.py
+++ b/tests/frontends/test_floods.py
@@ -15,9 +15,7 @@
 from reelusher.frontends.rpc.idle_limits import IdleLimits
 
 UNSOUND_REQUEST = msgpack.pack([0, 1, "day-view", [[{}] * 240, {}]])
-MAX_REQUESTS = (
-    4096 // len(UNSOUND_REQUEST) + 1
-)  # of such a size that one connection may have handled in a row
+MAX_REQUESTS = 4096 // len(UNSOUND_REQUEST) + 1  # that one connection may have handled in a row
 UNREAD_BYTES = 32_000
 
 
